--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,16 @@
+// Command drill lets the decisions play on the simulator's wire.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"dapplefront/internal/drill"
+)
+
+func main() {
+	if err := drill.Run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,829 @@
+// All decisions, tables and tuned values of dapplefront. Make a Router with NewRouter, then tell it what
+// happens (Listed, Take, Ended, Left, Due, Told, Counted, Complained), each with the clock; it answers through
+// its Hands before the call returns. The interface, nouns and all, is in types.go; docs/design.md says why.
+package logic
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+// NewRouter starts a router that knows nothing but its place.
+func NewRouter(now Time, p Place, hands Hands) *Router {
+	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers), location: p.Location,
+		cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{}}
+	r.askList()
+	hands.WakeUp(judgeEvery, &Alarm{})
+	return r
+}
+
+// chance draws evenly from 0 up to n.
+func (r *Router) chance(n int) int {
+	r.drawn++
+	h := fnv.New64a()
+	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, r.seed), r.drawn))
+	x := h.Sum64()
+	return int((x ^ x>>32) % uint64(n))
+}
+
+// keep appends and forgets all but the last n or more.
+func keep[T any](all []T, x T, n int) []T {
+	if len(all) >= 2*n {
+		all = slices.Clone(all[len(all)-n:])
+	}
+	return append(all, x)
+}
+
+// since counts the moments after from; a category narrows the count.
+func since(all []moment, from Time, c *Category) (n float64) {
+	for i := len(all) - 1; i >= 0 && all[i].at > from; i-- {
+		if c == nil || all[i].cat == c {
+			n++
+		}
+	}
+	return n
+}
+
+// Due rings an alarm: of a send that takes long, of the list, or of the regular look at the build on trial.
+func (r *Router) Due(now Time, a *Alarm) {
+	r.now = now
+	switch {
+	case a.list:
+		r.askList()
+	case a.send == nil:
+		r.judge()
+		r.hands.WakeUp(judgeEvery, a)
+	case a.send.fate == Out && !a.send.began:
+		r.step(a.send.Task, lingers)
+	}
+}
+
+// ---- The host list ----
+
+func (r *Router) askList() {
+	if !r.limits.Pushed {
+		r.hands.WatchHosts()
+	}
+}
+
+// Listed takes in changes to the host list; ok is false when a call for it failed. A failed watch may or may
+// not stand, so it is asked anew: soon, then slower, so that a list that is down is not flooded, yet well
+// inside the time after which silence counts as having been told.
+func (r *Router) Listed(now Time, changes []Listing, ok bool) {
+	r.now = now
+	if !ok {
+		wait := min(Second/2<<min(r.lost, 3), max(r.limits.AskWithin, Second)/3)
+		r.lost++
+		r.hands.WakeUp(wait+Time(r.chance(int(wait/2)+1)), &Alarm{list: true})
+		return
+	}
+	r.lost = 0
+	for _, l := range changes {
+		h := l.Host
+		if !h.listed {
+			h.listed = true
+			at, _ := slices.BinarySearchFunc(r.hosts, h, func(a, b *Host) int { return int(a.ID) - int(b.ID) })
+			r.hosts = slices.Insert(r.hosts, at, h)
+		}
+		if h.Up != l.Up || h.Build != l.Build { // another process: what the last one did says nothing of it
+			h.past, h.health, h.load = nil, fit, nil
+		}
+		h.Location, h.Cell, h.Standing, h.Build, h.Size, h.Up = l.Location, l.Cell, l.Standing, l.Build, l.Size, l.Up
+	}
+}
+
+// ---- Builds, exposure and cold hosts ----
+
+// trial tells whether a build is on trial for this router, and at which stage and cap. One that is not
+// announced yet counts as in the first stage.
+func (r *Router) trial(build int) (on bool, stage int, share float64) {
+	switch {
+	case !r.heard || build < r.news.Build || build == r.news.Build && r.news.Phase == Released:
+		return false, 0, 1
+	case build > r.news.Build && len(r.desk.Caps) > 0:
+		return true, 0, r.desk.Caps[0]
+	case build > r.news.Build || r.news.Phase != OnTrial:
+		return true, 0, 0
+	}
+	return true, r.news.Stage, r.news.Cap
+}
+
+func (r *Router) old(h *Host) bool {
+	on, _, _ := r.trial(h.Build)
+	return !on && h.Standing == Serving
+}
+
+// room tells whether one more send of the category at a build on trial keeps the rule on exposure. Sends are
+// counted over a little more than the window and tasks over a little less. What an earlier life of this router
+// sent is unknown after a start, so nothing goes there until one window has passed.
+func (r *Router) room(build int, c *Category) bool {
+	const edge = Second / 20 // several ticks of any clock
+	on, stage, share := r.trial(build)
+	if !on {
+		return true
+	}
+	if share <= 0 || r.now-r.born < r.desk.Window+edge || c.Repeat != Retriable && stage < r.desk.Guarded {
+		return false
+	}
+	if !r.desk.ByCategory {
+		c = nil
+	}
+	tried, taken := since(r.tried, r.now-r.desk.Window-edge, c), since(r.taken, r.now-r.desk.Window+edge, c)
+	return tried+1 <= r.desk.Free+share*taken
+}
+
+// mayWarm keeps a cold host from being pushed over, by this router's share alone: it gets no more than a
+// part of what the rule lets a host of its present strength have, in units of what hosts get now on average.
+func (r *Router) mayWarm(h *Host) bool {
+	const part = 0.6            // of the budget; the rest is for uneven routers, heavy tasks and bursts
+	const flowOver = 4 * Second // long enough to even out bursts
+	if h.Up == 0 || r.now-h.Up >= r.limits.Cold {
+		return true
+	}
+	peers := 0
+	for _, p := range r.hosts {
+		if r.old(p) {
+			peers++
+		}
+	}
+	rate := since(r.flow, r.now-flowOver, nil) / float64(flowOver) / float64(max(1, peers))
+	strength := r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, r.now-h.Up))/float64(r.limits.Cold)
+	budget := part * r.limits.Tip * strength * float64(r.limits.TipFor) * rate
+	return since(h.sent, r.now-r.limits.TipFor, nil)+1 <= max(1, budget)
+}
+
+// ---- Choosing a host ----
+
+// typical is what a finished send of the category usually takes.
+func (c *Category) typical() Time {
+	if len(c.took) == 0 {
+		return max(1, c.Promised/4) // until something is known
+	}
+	var sum Time
+	for _, t := range c.took {
+		sum += t
+	}
+	return max(1, sum/Time(len(c.took)))
+}
+
+// bound is the time that one in n of the category's finished sends takes longer than.
+func (c *Category) bound(n int) Time {
+	if len(c.took) < 2*n {
+		return c.Promised / 2
+	}
+	sorted := slices.Sorted(slices.Values(c.took))
+	return sorted[len(sorted)-1-len(sorted)/n]
+}
+
+// held is how many tasks a host seems to have in hand: what it reported, with what was sent since, or else
+// this router's own open sends as a share of everyone's.
+func (r *Router) held(h *Host) float64 {
+	own := float64(len(h.open))
+	if h.load == nil || r.now-h.loadAt > 2*Second || h.load.Active < 0 { // a report that old says little
+		return own * float64(r.routers)
+	}
+	since := 0.0
+	for _, s := range h.open {
+		if s.at >= h.loadAt {
+			since++
+		}
+	}
+	return max(own, h.load.Active+since)
+}
+
+// expected is how long a host would take over a task: what its last sends took against what is usual,
+// sends still out counting with their age, scaled by how much more it holds now than it held then.
+func (r *Router) expected(h *Host, c *Category) float64 {
+	strain, held, n := 1.0, 0.5, 1.0
+	for _, p := range h.past {
+		strain, held, n = strain+p.strain, held+p.held, n+1
+	}
+	for _, s := range h.open {
+		if x := float64(r.now-s.at) / float64(s.Task.Category.typical()); x > 2 {
+			strain, held, n = strain+x, held+s.held, n+1
+		}
+	}
+	return float64(c.typical()) * strain / n * (1 + r.held(h)) / (1 + held/n)
+}
+
+// pick draws two hosts at random among those nearby and two among the rest, and takes the least loss expected:
+// the chance to miss the promised time, and the price of crossing.
+func (r *Router) pick(t *Task, fits func(*Host) bool) (best *Host) {
+	var near, far []*Host
+	for _, h := range r.hosts {
+		switch {
+		case h.Standing != Serving || !fits(h) || !r.mayGo(t, h):
+		case h.Location == r.location:
+			near = append(near, h)
+		default:
+			far = append(far, h)
+		}
+	}
+	least := math.Inf(1)
+	for i, list := range [][]*Host{near, near, far, far} {
+		if len(list) == 0 {
+			continue
+		}
+		h := list[r.chance(len(list))]
+		wait := r.expected(h, t.Category) / float64(t.Category.Promised)
+		loss := wait * wait
+		if i > 1 {
+			loss += r.limits.CrossPrice
+		}
+		if loss < least {
+			best, least = h, loss
+		}
+	}
+	return best
+}
+
+// mayGo keeps repeats among the hosts that drop them, and off hosts that the task has already tried.
+func (r *Router) mayGo(t *Task, h *Host) bool {
+	const edge = Second / 20 // of a group's memory: the way to the host counts too
+	if slices.ContainsFunc(t.Sends, func(s *Send) bool { return s.Host == h }) || !r.mayWarm(h) ||
+		h.health == shunned && r.now < h.until {
+		return false
+	}
+	x, c := t.risky, t.Category
+	switch {
+	case x == nil || c.Repeat == Retriable:
+		return true
+	case c.Repeat == Binding || r.now-x.at > c.Memory-edge:
+		return false
+	}
+	return c.Group == Everywhere || h.Location == x.Host.Location && (c.Group == SameLocation || h.Cell == x.Host.Cell)
+}
+
+// earlier picks a host for the ordinary way: of the newest build that is not on trial, else of an older one,
+// else whatever the rule on exposure allows. Keys stay with the build that answered them where that is told.
+func (r *Router) earlier(t *Task) *Host {
+	sticks, newest := 0, 0
+	if t.Key != "" && r.desk.KeysStay && (r.news.Phase == OnTrial || r.news.Phase == Released) {
+		sticks = r.kept[t.Key]
+	}
+	for _, h := range r.hosts {
+		if r.old(h) {
+			newest = max(newest, h.Build)
+		}
+	}
+	for level := range 3 {
+		if h := r.pick(t, func(h *Host) bool {
+			return h.Build >= sticks && (level == 2 && r.room(h.Build, t.Category) ||
+				level < 2 && r.old(h) && h.health != sick && (level == 1 || h.Build == newest))
+		}); h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// probation picks a sick host whose turn for a trickle has come; only repeatable tasks go there.
+func (r *Router) probation(t *Task) *Host {
+	const turn = Second // slow enough to cost little, fast enough to find a recovery
+	if t.Category.Repeat != Retriable {
+		return nil
+	}
+	return r.pick(t, func(h *Host) bool {
+		return r.old(h) && h.health == sick && len(h.open) == 0 && since(h.sent, r.now-turn, nil) == 0
+	})
+}
+
+// onTrial picks a host for a copy, or nil where one is not allowed or not wanted. Categories with an effect
+// go there only after the guarded stages, and only until they have been judged.
+func (r *Router) onTrial(t *Task) *Host {
+	const copies = 24 // in flight; the cap does the limiting, this only stops a pile at a hung build
+	const enough = 16 // sends of a category with an effect: a quarter of them failing would long have shown
+	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || !r.room(r.news.Build, t.Category) {
+		return nil
+	}
+	flying, met := 0, 0
+	for _, h := range r.hosts {
+		if h.Build == r.news.Build {
+			flying += len(h.open)
+		}
+	}
+	for _, s := range r.book(r.news.Build).samples {
+		if s.cat == t.Category {
+			met++
+		}
+	}
+	if flying >= copies || t.Category.Repeat != Retriable && met >= enough {
+		return nil
+	}
+	return r.pick(t, func(h *Host) bool { return h.Build == r.news.Build && h.health != sick })
+}
+
+// ---- Tasks ----
+
+// tasks says what follows for a task. One that can go nowhere is settled at once.
+var tasks = []struct {
+	state taskState
+	input taskInput
+	next  taskState
+	do    func(*Router, *Task)
+}{
+	{clean, arrives, clean, (*Router).place},
+	{clean, neverRan, clean, (*Router).again},
+	{clean, mayHaveRun, risky, (*Router).again},
+	{clean, lingers, clean, (*Router).hedge},
+	{clean, ends, over, (*Router).rest},
+	{risky, neverRan, risky, (*Router).again},
+	{risky, mayHaveRun, risky, (*Router).again},
+	{risky, lingers, risky, (*Router).hedge},
+	{risky, ends, over, (*Router).rest},
+}
+
+func (r *Router) step(t *Task, in taskInput) {
+	for _, row := range tasks {
+		if row.state == t.state && row.input == in {
+			t.state = row.next
+			row.do(r, t)
+			return
+		}
+	}
+}
+
+// Take accepts a task; from here on it is owed one final answer.
+func (r *Router) Take(now Time, t *Task) {
+	r.now, t.at = now, now
+	r.taken = keep(r.taken, moment{now, t.Category}, 8192) // more than any window holds
+	if c := t.Customer; c != nil {
+		c.taken = keep(c.taken, moment{now, t.Category}, 4096)
+	}
+	r.step(t, arrives)
+}
+
+// place sends a new task on its ordinary way: to the earlier build, with a copy or a lone copy on trial.
+func (r *Router) place(t *Task) {
+	h := r.onTrial(t)
+	if h != nil && t.Category.Repeat == Retriable && r.limits.TwoAtOnce {
+		if first := r.earlier(t); first != nil {
+			r.send(t, first, original)
+		}
+		r.send(t, h, copied)
+		return
+	}
+	if h == nil {
+		h = r.probation(t)
+	}
+	if h != nil {
+		r.send(t, h, lone)
+		return
+	}
+	if h = r.earlier(t); h == nil || r.tooLate(t, h) {
+		r.settle(t)
+		return
+	}
+	r.send(t, h, original)
+}
+
+// tooLate turns a task back early when the host that it would get is expected to answer after the promised
+// time; the less a task earns for its time, the sooner, and sooner yet beyond its customer's share.
+func (r *Router) tooLate(t *Task, h *Host) bool {
+	const low, beyond = 0.7, 0.5 // of the promised time: room for the better ones when the fleet is full
+	limit, better := 1.0, 0
+	for _, c := range r.cats {
+		if c.Earnings*float64(t.Category.typical()) > t.Category.Earnings*float64(c.typical()) {
+			better++
+		}
+	}
+	if 2*better >= len(r.cats) {
+		limit = low
+	}
+	if c := t.Customer; c != nil && since(c.taken, r.now-2*Second, nil) > 2.4*c.PerSecond/float64(r.routers) {
+		limit *= beyond
+	}
+	return r.expected(h, t.Category) > limit*float64(min(t.Category.Promised, t.Patience))
+}
+
+// mayRepeat tells whether a second run of the task does no harm anywhere.
+func (c *Category) mayRepeat() bool {
+	return c.Repeat == Retriable || c.Repeat == Fingerprinted && c.Group == Everywhere
+}
+
+func (r *Router) send(t *Task, h *Host, how role) {
+	s := &Send{Task: t, Host: h, at: r.now, build: h.Build, up: h.Up, held: r.held(h), role: how}
+	t.Sends = append(t.Sends, s)
+	h.open = append(h.open, s)
+	h.sent = keep(h.sent, moment{r.now, t.Category}, 256)
+	if r.old(h) {
+		r.flow = keep(r.flow, moment{r.now, t.Category}, 8192)
+	} else {
+		r.tried = keep(r.tried, moment{r.now, t.Category}, 8192)
+	}
+	within := t.at + t.Patience - r.now
+	lingersAt := max(t.Category.bound(20)*3/2, t.Category.typical()*2) // beyond 19 in 20, with some slack
+	switch {
+	case !t.Category.mayRepeat():
+	case r.limits.TwoAtOnce && how != copied:
+		r.hands.WakeUp(lingersAt, &Alarm{send: s})
+	case r.limits.TwoAtOnce || len(t.Sends) >= r.limits.MaxSends:
+	case how == lone: // one after the other: a lone copy leaves its original the time to answer
+		within = min(within, max(lingersAt, t.Category.Promised/3))
+	case t.at+t.Category.Promised-r.now-t.Category.typical() > lingersAt && r.spare():
+		within = min(within, lingersAt)
+	}
+	r.hands.Send(s, within)
+}
+
+// spare tells whether the budget has room for a further send, so that a slow fleet is not given more work.
+func (r *Router) spare() bool {
+	const over, few, oneIn = 5 * Second, 4, 8 // one for every eight tasks taken lately, and a few
+	return since(r.extra, r.now-over, nil) < few+since(r.taken, r.now-over, nil)/oneIn
+}
+
+// more sends a task once more where that is allowed, affordable and can still be in time. What follows a lone
+// copy is its original, which no budget holds back.
+func (r *Router) more(t *Task) bool {
+	left := t.at + t.Patience - r.now
+	first := t.Sends[len(t.Sends)-1].role == lone
+	if len(t.Sends) >= r.limits.MaxSends || left < t.Category.typical()/2 || !first && !r.spare() {
+		return false
+	}
+	h := r.earlier(t)
+	if h == nil {
+		return false
+	}
+	if !first {
+		r.extra = keep(r.extra, moment{r.now, t.Category}, 2048)
+	}
+	r.send(t, h, further)
+	return true
+}
+
+// again answers a failed send: with a further one, with waiting for one still out, or with the final answer.
+func (r *Router) again(t *Task) {
+	out := func(s *Send) bool { return s.fate == Out }
+	main := func(s *Send) bool { return s.fate == Out && s.role != copied }
+	if !slices.ContainsFunc(t.Sends, main) && !r.more(t) && !slices.ContainsFunc(t.Sends, out) {
+		r.settle(t)
+	}
+}
+
+// hedge sends a second copy of a task that takes unusually long.
+func (r *Router) hedge(t *Task) {
+	if t.risky == nil {
+		t.risky = t.Sends[0] // still out, it may have run
+	}
+	r.more(t)
+}
+
+func (r *Router) rest(*Task) {} // the answer is given; copies still out are only evidence
+
+// settle gives the final answer, at once: turned back where trying again is known to be harmless.
+func (r *Router) settle(t *Task) {
+	t.state = over
+	if t.risky != nil && !t.Category.mayRepeat() {
+		r.hands.Scrap(t)
+		return
+	}
+	stay := Time(0)
+	if r.limits.TimeToCome {
+		stay = min(r.limits.LongestStay, Second/2) // a short jam is over by then
+	}
+	r.hands.TurnBack(t, stay)
+}
+
+// Left says that a client has gone.
+func (r *Router) Left(now Time, t *Task) {
+	r.now = now
+	r.step(t, ends)
+}
+
+// Began says that a send's answer has started to stream.
+func (r *Router) Began(now Time, s *Send) { r.now, s.began = now, true }
+
+// Ended says how a send ended, how long it took, whether its task is over, and what the host reported.
+func (r *Router) Ended(now Time, s *Send, fate Fate, took Time, done bool, load *Load) {
+	r.now, s.fate = now, fate
+	h, t := s.Host, s.Task
+	h.open = slices.DeleteFunc(h.open, func(x *Send) bool { return x == s })
+	if load != nil {
+		h.load, h.loadAt = load, now
+	}
+	r.learn(s, took)
+	in := mayHaveRun
+	switch {
+	case done || fate == Finished:
+		in = ends
+	case fate == TurnedBack || fate == NoLink || fate == NeverSent:
+		in = neverRan
+	case t.risky == nil || s.at < t.risky.at:
+		t.risky = s
+	}
+	if fate == Finished && r.desk.KeysStay && t.Key != "" && s.build >= r.news.Build {
+		r.kept[t.Key] = s.build
+	}
+	r.step(t, in)
+}
+
+// ---- Health ----
+
+// healths says how a host's health moves; a sick host only gets the trickle of probation.
+var healths = []struct {
+	state health
+	input healthInput
+	next  health
+	rest  Time
+}{
+	{fit, fails, sick, 0},
+	{fit, refuses, shunned, Second / 5}, // full or unreachable: others first for a moment
+	{shunned, refuses, shunned, Second},
+	{shunned, fails, sick, 0},
+	{shunned, works, fit, 0},
+	{sick, works, fit, 0},
+}
+
+// learn keeps what a send showed, of its host, its category and its build, and reviews the host's health.
+func (r *Router) learn(s *Send, took Time) {
+	h, c := s.Host, s.Task.Category
+	if s.fate == NeverSent || s.fate == CalledOff || s.up != h.Up || s.build != h.Build {
+		return
+	}
+	x := sample{at: r.now, took: took, age: s.at - s.up, host: h, cat: c, fate: s.fate, role: s.role, held: s.held,
+		strain: float64(took) / float64(c.typical())}
+	if s.up == 0 {
+		x.age = math.MaxInt32
+	}
+	if s.fate == Finished && r.old(h) {
+		c.took = keep(c.took, took, 64)
+	}
+	h.past = append(h.past, x)
+	if len(h.past) > 8 { // enough to tell a slow host, few enough to forget one quickly
+		h.past = h.past[1:]
+	}
+	in := steady
+	switch {
+	case s.fate == TurnedBack || s.fate == NoLink:
+		in = refuses
+	case r.failing(h):
+		in = fails
+	case s.fate == Finished && x.strain < 3:
+		in = works
+	}
+	if in != refuses {
+		b := r.book(s.build)
+		b.samples = keep(b.samples, x, 240) // some seconds of a whole fleet's sends, all those of a trial
+	}
+	for _, row := range healths {
+		if row.state == h.health && row.input == in {
+			if h.health == sick {
+				h.past = h.past[len(h.past)-1:]
+			}
+			h.health, h.until = row.next, r.now+row.rest
+			return
+		}
+	}
+}
+
+// failing compares a host's last sends with its peers of the same build: it must fail or drag far more than
+// they do, so that neither a bad build nor a slow fleet empties the list.
+func (r *Router) failing(h *Host) bool {
+	const gap, drag = 0.35, 3.0 // about three of the last eight; three times as slow as its peers
+	ails := func(h *Host) (share, strain float64) {
+		for _, p := range h.past {
+			if p.fate != Finished {
+				share++
+			}
+			strain += p.strain
+		}
+		n := float64(max(len(h.past), 6))
+		return share / n, strain / n
+	}
+	share, strain := ails(h)
+	var shares, strains []float64
+	for _, p := range r.hosts {
+		if p != h && p.Build == h.Build && p.Standing == Serving && len(p.past) > 2 {
+			s, d := ails(p)
+			shares, strains = append(shares, s), append(strains, d)
+		}
+	}
+	if len(shares) < 2 {
+		return false
+	}
+	slices.Sort(shares)
+	slices.Sort(strains)
+	mid := len(shares) / 2
+	return share > gap+2*shares[mid] || strain > drag*max(1, strains[mid])
+}
+
+// ---- Evidence ----
+
+func (r *Router) book(build int) *book {
+	for _, b := range r.books {
+		if b.build == build {
+			return b
+		}
+	}
+	r.books = keep(r.books, &book{build: build}, 4)
+	return r.books[len(r.books)-1]
+}
+
+// Counted takes in what the desk counted.
+func (r *Router) Counted(now Time, c Count) {
+	r.now, c.at = now, now
+	r.counts = keep(r.counts, c, 100)
+}
+
+// Complained takes in that a client found an answer wrong.
+func (r *Router) Complained(now Time, h *Host, c *Category, age Time) {
+	r.now = now
+	if b := r.book(h.Build); h.Up <= now-age {
+		b.wrong = keep(b.wrong, sample{at: now, host: h, cat: c}, 240)
+	}
+}
+
+// odds weighs bad against n tries as signs that a build fails more than the usual share: the mean likelihood
+// ratio over a few sizes of the gap. Were the build good it would pass x with a chance of at most 1/x, however
+// often it is looked at, and a mean of such odds keeps that bound; so many looks and tests raise no alarm.
+func odds(bad, n, usual float64, gaps ...float64) (mean float64) {
+	for _, g := range gaps {
+		p := usual + g*(1-usual)
+		mean += math.Exp(min(50, bad*math.Log(p/usual)+(n-bad)*math.Log((1-p)/(1-usual)))) / float64(len(gaps))
+	}
+	return mean
+}
+
+// tally counts the samples that a test calls bad. Of several hosts the one with most bad ones is left out, so
+// that a host that is sick on its own does not speak for its build.
+func tally(all []sample, of, isBad func(sample) bool) (bad, n float64) {
+	type sum struct {
+		host   *Host
+		bad, n float64
+	}
+	var sums []sum
+	for _, s := range all {
+		if !of(s) {
+			continue
+		}
+		i := slices.IndexFunc(sums, func(x sum) bool { return x.host == s.host })
+		if i < 0 {
+			i, sums = len(sums), append(sums, sum{host: s.host})
+		}
+		if sums[i].n++; isBad(s) {
+			sums[i].bad++
+		}
+	}
+	worst := 0
+	for i, x := range sums {
+		bad, n = bad+x.bad, n+x.n
+		if x.bad > sums[worst].bad {
+			worst = i
+		}
+	}
+	if len(sums) > 1 && sums[worst].bad > 1 {
+		bad, n = bad-sums[worst].bad, n-sums[worst].n
+	}
+	return bad, n
+}
+
+// weight is the evidence that the newest build is bad, in odds; 1 is none. Copies are judged against the
+// sends at the build before it: failures over all and by category, slowness, complaints, the desk's counts.
+func (r *Router) weight() float64 {
+	const floor = 0.01 // least usual failure share; a stray error in the first copies is no proof
+	now, before := r.book(r.news.Build), (*book)(nil)
+	for _, b := range r.books {
+		if b.build < r.news.Build && len(b.samples) > 20 && (before == nil || b.build > before.build) {
+			before = b
+		}
+	}
+	if before == nil {
+		return 1
+	}
+	// A cold host is slow and times out, whatever its build: only its errors count.
+	warm := func(s sample) bool { return s.age > r.limits.Cold }
+	judged := func(s sample) bool { return warm(s) || s.fate != NoAnswer }
+	failed := func(s sample) bool { return s.fate != Finished }
+	sum, parts := 0.0, 0.0
+	add := func(share, o float64) { sum, parts = sum+share*o, parts+share }
+
+	test := func(share float64, c *Category, gaps ...float64) {
+		is := func(s sample) bool { return (c == nil || s.cat == c) && judged(s) }
+		bad, n := tally(now.samples, is, failed)
+		was, of := tally(before.samples, is, failed)
+		add(share, odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...))
+		if r.desk.Counted > 0 {
+			bad, n, was, of := 0.0, 0.0, 0.0, 0.0
+			for _, x := range r.counts {
+				switch {
+				case c != nil && x.Category != c:
+				case x.Build == now.build:
+					bad, n = bad+float64(x.Bad), n+float64(x.Samples)
+				case x.Build == before.build:
+					was, of = was+float64(x.Bad), of+float64(x.Samples)
+				}
+			}
+			add(share, odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...))
+		}
+	}
+	test(1, nil, 0.06, 0.15, 0.4)
+	for _, c := range r.cats {
+		test(1/float64(len(r.cats)), c, 0.25, 0.6)
+	}
+	var strains []float64
+	for _, s := range before.samples {
+		if warm(s) {
+			strains = append(strains, s.strain)
+		}
+	}
+	if len(strains) > 20 {
+		slices.Sort(strains)
+		limit := strains[len(strains)*17/20]
+		bad, n := tally(now.samples, warm, func(s sample) bool { return s.fate == NoAnswer || s.strain > limit })
+		add(1, odds(bad, n, 0.17, 0.2, 0.4))
+	}
+	if r.desk.Complaints > 0 {
+		add(1, odds(float64(len(now.wrong)), float64(len(now.samples)),
+			max(0.003, float64(len(before.wrong))/float64(len(before.samples)+1)), 0.01, 0.04))
+	}
+	return sum / parts
+}
+
+// ---- Votes ----
+
+const judgeEvery = Second / 5 // a fraction of the shortest stage
+
+var ballots = []struct {
+	state ballotState
+	input ballotInput
+	next  ballotState
+	cast  bool
+}{
+	{quiet, wants, asked, true},
+	{stands, wants, asked, true},
+	{asked, silent, quiet, false},
+	{asked, counts, stands, false},
+	{asked, drops, quiet, false},
+}
+
+func (r *Router) poll(in ballotInput, voice Voice) {
+	for _, row := range ballots {
+		if row.state != r.ballot.state || row.input != in {
+			continue
+		}
+		r.ballot.state = row.next
+		if row.cast {
+			r.ballot.voice, r.ballot.at = voice, r.now
+			r.hands.Vote(r.news.Build, r.news.Stage, voice)
+			r.hands.Note(fmt.Sprintf("vote %d on build %d stage %d, odds of bad %.3g", voice, r.news.Build, r.news.Stage, r.weight()))
+		}
+		return
+	}
+}
+
+// Told takes in the desk's news, or its answer to a vote.
+func (r *Router) Told(now Time, n News) {
+	r.now = now
+	if n.Answer == Unasked || n.Answer == Counted {
+		if !r.heard || n.Build != r.news.Build || n.Stage != r.news.Stage || n.Phase != r.news.Phase {
+			r.staged, r.ballot = now-n.Age, ballot{}
+		}
+		r.news, r.heard = n, true
+	}
+	switch n.Answer {
+	case Counted:
+		r.poll(counts, 0)
+	case Moot, Refused, Unclear:
+		r.poll(drops, 0)
+	}
+}
+
+// verdict turns the weight of the evidence into a vote. A move that exposes little needs no proof, as sends at
+// the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
+func (r *Router) verdict() Voice {
+	const alarm, lateAlarm = 30.0, 60.0 // one good build in so many is sent back by chance
+	const doubt, sure = 4.0, 0.35       // on in a stage unless in doubt; release when fairly sure
+	if !r.heard || r.news.Build == 0 || r.news.Phase == GoingBack || r.news.Phase == Withdrawn {
+		return NoVote
+	}
+	w := r.weight()
+	limit := doubt
+	if r.news.Stage+1 >= len(r.desk.Caps) {
+		limit = min(1, sure+0.1*float64(r.now-r.staged-r.desk.LeastTime)/float64(Second))
+	}
+	switch {
+	case r.news.Phase == Released && w > lateAlarm, r.news.Phase == OnTrial && w > alarm:
+		return Back
+	case r.news.Phase == Released:
+		return NoVote
+	case r.desk.Control == Clock && w > doubt:
+		return Hold
+	case r.desk.Control != Clock && w < limit:
+		return On
+	}
+	return NoVote
+}
+
+func (r *Router) judge() {
+	voice := r.verdict()
+	if r.ballot.state == asked && r.now-r.ballot.at > r.desk.VoteTimeout+Second/2 {
+		r.poll(silent, 0)
+	}
+	if voice != r.ballot.voice && (voice != NoVote || r.ballot.state == stands) ||
+		voice != NoVote && (r.ballot.state == quiet || r.now-r.ballot.at > r.desk.VoteLife*7/10) {
+		r.poll(wants, voice)
+	}
+}
--- /dev/null
+++ b/logic/types.go
@@ -0,0 +1,380 @@
+// Package logic decides where tasks go while a fleet's build is being replaced.
+// This file is its interface: the trade's nouns, what a Router is told and what it asks for.
+package logic
+
+// Time is a moment or a span in whole tenths of a millisecond.
+type Time int64
+
+// Second is the unit that long spans are written in.
+const Second Time = 10_000
+
+// Repeat says what running a task twice would do.
+type Repeat int
+
+const (
+	Retriable     Repeat = iota // harmless
+	Fingerprinted               // a mark lets hosts of one group drop the repeat for a while
+	Binding                     // it must never run twice
+)
+
+// Group is the set of hosts that drop each other's repeats.
+type Group int
+
+const (
+	Everywhere Group = iota
+	SameLocation
+	SameCell
+)
+
+// Category is a kind of task.
+type Category struct {
+	Repeat    Repeat
+	Group     Group
+	Memory    Time // how long a group drops repeats
+	Promised  Time // answered within this it earns in full
+	Earnings  float64
+	LateShare float64 // share of the earnings left after the promised time
+
+	took []Time // what finished sends took lately
+}
+
+// Customer is whoever pays for a task.
+type Customer struct {
+	PerSecond float64 // tasks a second, over all routers, that earn in full
+
+	taken []moment
+}
+
+// Location is where hosts and routers stand.
+type Location struct{}
+
+// Standing is what the host list says of a host.
+type Standing int
+
+const (
+	Serving Standing = iota
+	Draining
+	Gone
+)
+
+// Host is one machine; a later process or machine under the same id is the same Host with a new Up.
+type Host struct {
+	ID       uint32 // for an order that is the same everywhere, nothing else
+	Location *Location
+	Cell     int
+	Standing Standing
+	Build    int
+	Size     float64
+	Up       Time // when its process last started; 0 is long ago
+
+	listed bool
+	health health
+	until  Time // when its health is looked at anew
+	open   []*Send
+	sent   []moment
+	past   []sample
+	load   *Load
+	loadAt Time
+}
+
+// Listing is what the host list says of one host; whoever calls turns lists into changes.
+type Listing struct {
+	Host     *Host
+	Location *Location
+	Cell     int
+	Standing Standing
+	Build    int
+	Size     float64
+	Up       Time
+}
+
+// Load is what a host reports of itself; a negative figure was not reported.
+type Load struct{ Active, Waiting, Busy, Service float64 }
+
+// Task is one call that the router has taken.
+type Task struct {
+	Category *Category
+	Customer *Customer // nil where there are none
+	Key      string
+	Patience Time // how long the client goes on waiting
+	Hint     Time // expected work, 0 where not told
+	Again    bool // the client says that it tries again
+
+	Sends []*Send
+
+	at    Time
+	state taskState
+	risky *Send // the first send that may have run
+}
+
+// Over tells whether the task has had its final answer.
+func (t *Task) Over() bool { return t.state == over }
+
+// Send is one try of a task at a host.
+type Send struct {
+	Task *Task
+	Host *Host
+
+	fate   Fate
+	at     Time
+	build  int
+	up     Time
+	held   float64
+	role   role
+	began  bool
+	within Time
+}
+
+// Fate is how a send ended.
+type Fate int
+
+const (
+	Out        Fate = iota
+	Finished        // answered
+	Errored         // answered with an error; it may have run
+	TurnedBack      // rejected unseen
+	NoAnswer        // no answer in time; it may have run
+	NoLink          // no connection in time; it never ran
+	Cut             // the connection dropped; it may have run
+	CalledOff       // the router stopped waiting; it may have run
+	NeverSent       // it never left
+)
+
+// Phase is where a release stands.
+type Phase int
+
+const (
+	OnTrial Phase = iota
+	GoingBack
+	Released
+	Withdrawn
+)
+
+// Answer is what became of a vote.
+type Answer int
+
+const (
+	Unasked Answer = iota // news that no vote asked for
+	Counted               // the vote stands
+	Moot                  // not the present build or stage
+	Refused               // too many votes, or an error: it does not count
+	Unclear               // no reply: it may count
+)
+
+// News is what the release desk tells.
+type News struct {
+	Build, Stage int
+	Phase        Phase
+	Cap          float64
+	Age          Time
+	Answer       Answer
+}
+
+// Count is what the release desk counted for one build and category over a period.
+type Count struct {
+	Build        int
+	Category     *Category
+	Bad, Samples int
+	Mean         Time
+	Age          Time
+
+	at Time
+}
+
+// Voice is what a vote says.
+type Voice int
+
+const (
+	NoVote Voice = iota
+	On
+	Hold
+	Back
+)
+
+// Control is how the desk moves a build on.
+type Control int
+
+const (
+	AnyVote Control = iota
+	ShareOfVotes
+	Clock
+)
+
+// Desk is what the release desk told at start.
+type Desk struct {
+	Control      Control
+	Caps         []float64 // by stage
+	LeastTime    Time      // of a stage
+	ClockTime    Time      // of a stage, under Clock
+	VoteLife     Time
+	VoteTimeout  Time
+	VotesASecond float64 // from all routers together
+	Window       Time    // of the rule on exposure
+	Free         float64
+	ByCategory   bool
+	Guarded      int // stages that take retriable tasks only
+	KeysStay     bool
+	DelayPrice   float64
+	HarmPrice    float64
+	Complaints   float64 // share of the wrong answers that is reported
+	Counted      float64 // share of the sends in the desk's counts
+}
+
+// Limits are the rules' figures and what the place allows.
+type Limits struct {
+	Grace       Time
+	Cold        Time
+	ColdShare   float64
+	Tip         float64
+	TipFor      Time
+	AskWithin   Time
+	MaxSends    int
+	MaxOpen     int
+	TwoAtOnce   bool
+	TimeToCome  bool // a turn-back may name a time to come back
+	LongestStay Time
+	Pushed      bool // the host list comes by itself
+	CrossPrice  float64
+	WastePrice  float64
+	OverShare   float64
+}
+
+// Hands carry out what a Router decides.
+type Hands interface {
+	Send(s *Send, within Time)
+	TurnBack(t *Task, stay Time)
+	Scrap(t *Task)
+	WakeUp(in Time, what *Alarm)
+	WatchHosts()
+	Vote(build, stage int, voice Voice)
+	Note(text string)
+}
+
+// Alarm is a call that the router asked for.
+type Alarm struct {
+	send *Send
+	list bool
+}
+
+// Place is all that a router is told when it starts.
+type Place struct {
+	Seed       uint64
+	Routers    int
+	Location   *Location
+	Categories []*Category
+	Limits     Limits
+	Desk       Desk
+}
+
+// sample is one ended send, kept for the figures made of it.
+type sample struct {
+	at, took, age Time
+	host          *Host
+	cat           *Category
+	fate          Fate
+	role          role
+	held, strain  float64
+}
+
+// book keeps the last samples of one build.
+type book struct {
+	build   int
+	samples []sample
+	wrong   []sample
+}
+
+type moment struct {
+	at  Time
+	cat *Category
+}
+
+type ballot struct {
+	state        ballotState
+	build, stage int
+	voice        Voice
+	at           Time
+}
+
+// Router is one instance's mind; it shares nothing with others.
+type Router struct {
+	hands    Hands
+	seed     uint64
+	drawn    uint64
+	now      Time
+	born     Time
+	routers  int
+	location *Location
+	cats     []*Category
+	limits   Limits
+	desk     Desk
+	hosts    []*Host
+	news     News
+	heard    bool
+	staged   Time // when the present stage was first told
+	taken    []moment
+	tried    []moment
+	flow     []moment
+	extra    []moment
+	kept     map[string]int
+	books    []*book
+	counts   []Count
+	ballot   ballot
+	lost     int // list calls that failed in a row
+}
+
+type (
+	taskState   int
+	taskInput   int
+	role        int
+	health      int
+	healthInput int
+	ballotState int
+	ballotInput int
+)
+
+const (
+	clean taskState = iota // nothing sent may have run
+	risky                  // something sent may have run
+	over
+)
+
+const (
+	arrives taskInput = iota
+	neverRan
+	mayHaveRun
+	lingers // still out, longer than usual
+	ends    // answered, or the client has gone
+)
+
+const (
+	original role = iota
+	copied        // beside its original
+	lone          // before its original, where two at once are forbidden or the category has an effect
+	further
+)
+
+const (
+	fit health = iota
+	sick
+	shunned
+)
+
+const (
+	fails healthInput = iota
+	works
+	refuses
+	steady
+)
+
+const (
+	quiet ballotState = iota
+	asked
+	stands
+)
+
+const (
+	wants  ballotInput = iota // the verdict differs from what stands, or that will soon run out
+	silent                    // no answer in time
+	counts
+	drops // refused, moot or unclear
+)
