--- a/logic/logic.go
+++ b/logic/logic.go
@@ -294,15 +294,18 @@
 // onTrial picks a host for a copy, or nil where one is not allowed or not wanted. Categories with an effect
 // go there only after the guarded stages, and only until they have been judged.
 func (r *Router) onTrial(t *Task) *Host {
-	const copies = 24 // in flight; the cap does the limiting, this only stops a pile at a hung build
+	const part = 0.7  // of what hosts of the earlier build get now, so that the trial's own load proves nothing
 	const enough = 16 // sends of a category with an effect: a quarter of them failing would long have shown
+	const lately = 2 * Second
 	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || !r.room(r.news.Build, t.Category) {
 		return nil
 	}
-	flying, met := 0, 0
+	peers, hosts, met := 0.0, 0.0, 0
 	for _, h := range r.hosts {
-		if h.Build == r.news.Build {
-			flying += len(h.open)
+		if r.old(h) {
+			peers++
+		} else if h.Build == r.news.Build && h.Standing == Serving {
+			hosts++
 		}
 	}
 	for _, s := range r.book(r.news.Build).samples {
@@ -310,7 +313,8 @@
 			met++
 		}
 	}
-	if flying >= copies || t.Category.Repeat != Retriable && met >= enough {
+	fair := part * since(r.flow, r.now-lately, nil) / max(1, peers) * hosts
+	if since(r.tried, r.now-lately, nil)+1 > max(1, fair) || t.Category.Repeat != Retriable && met >= enough {
 		return nil
 	}
 	return r.pick(t, func(h *Host) bool { return h.Build == r.news.Build && h.health != sick })
@@ -545,6 +549,9 @@
 	}
 	x := sample{at: r.now, took: took, age: s.at - s.up, host: h, cat: c, fate: s.fate, role: s.role, held: s.held,
 		strain: float64(took) / float64(c.typical())}
+	if x.pace = max(0.01, x.strain); h.load != nil && h.load.Service > 0 {
+		x.pace = h.load.Service
+	}
 	if s.up == 0 {
 		x.age = math.MaxInt32
 	}
@@ -649,7 +656,7 @@
 
 // tally counts the samples that a test calls bad. Of several hosts the one with most bad ones is left out, so
 // that a host that is sick on its own does not speak for its build.
-func tally(all []sample, of, isBad func(sample) bool) (bad, n float64) {
+func tally(all []sample, of, isBad func(sample) bool) (bad, n float64, hosts int) {
 	type sum struct {
 		host   *Host
 		bad, n float64
@@ -677,13 +684,75 @@
 	if len(sums) > 1 && sums[worst].bad > 1 {
 		bad, n = bad-sums[worst].bad, n-sums[worst].n
 	}
-	return bad, n
+	return bad, n, len(sums)
+}
+
+// drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow again
+// or more against no slower, host by host, since hosts differ among themselves however many sends they answer.
+// What a host reports of its service time goes before what its answers took, which shows its queue too.
+func drag(now, before []sample, of func(sample) bool) float64 {
+	const differ, scatter = 0.2, 0.5 // variance is the square of the one, and the other by number of sends
+	const more = 0.47                // log of 1.6: half as slow again shows in a fleet that is half full
+	paces := func(all []sample) (mean, spread float64) {
+		hosts, n := map[*Host][2]float64{}, 0.0
+		var order []*Host
+		for _, s := range all {
+			if of(s) {
+				x := hosts[s.host]
+				if x[1] == 0 {
+					order = append(order, s.host)
+				}
+				hosts[s.host] = [2]float64{x[0] + s.pace, x[1] + 1}
+			}
+		}
+		for _, h := range order {
+			if x := hosts[h]; x[1] >= 3 {
+				mean, spread, n = mean+math.Log(x[0]/x[1]), spread+differ*differ+scatter/x[1], n+1
+			}
+		}
+		return mean / n, spread / n / n
+	}
+	fresh, a := paces(now)
+	usual, b := paces(before)
+	if math.IsNaN(fresh + usual) {
+		return 1
+	}
+	return math.Exp(max(-6, min(6, ((fresh-usual)*more-more*more/2)/(a+b))))
+}
+
+// tallied weighs what the desk counted of a category over all routers. It tells hosts of a build apart no
+// more than it tells why they fail, so only failures far beyond what one sick host brings count, and several
+// hosts must run the build.
+func (r *Router) tallied(c *Category, now, before int) float64 {
+	const floor, few = 0.1, 4
+	var bad, n, was, of float64
+	for _, x := range r.counts {
+		switch {
+		case x.Category != c:
+		case x.Build == now:
+			bad, n = bad+float64(x.Bad), n+float64(x.Samples)
+		case x.Build == before:
+			was, of = was+float64(x.Bad), of+float64(x.Samples)
+		}
+	}
+	hosts := 0
+	for _, h := range r.hosts {
+		if h.Build == now && h.Standing == Serving {
+			hosts++
+		}
+	}
+	o := odds(bad, n, max(floor, (was+0.5)/(of+1)), 0.25, 0.6)
+	if hosts < few {
+		return min(o, 3)
+	}
+	return o
 }
 
 // weight is the evidence that the newest build is bad, in odds; 1 is none. Copies are judged against the
 // sends at the build before it: failures over all and by category, slowness, complaints, the desk's counts.
-func (r *Router) weight() float64 {
+func (r *Router) weight() (mean float64, parts []float64) {
 	const floor = 0.01 // least usual failure share; a stray error in the first copies is no proof
+	const single = 3   // under what holds a stage back: the next one brings more hosts to compare
 	now, before := r.book(r.news.Build), (*book)(nil)
 	for _, b := range r.books {
 		if b.build < r.news.Build && len(b.samples) > 20 && (before == nil || b.build > before.build) {
@@ -691,55 +760,40 @@
 		}
 	}
 	if before == nil {
-		return 1
+		return 1, nil
 	}
 	// A cold host is slow and times out, whatever its build: only its errors count.
 	warm := func(s sample) bool { return s.age > r.limits.Cold }
 	judged := func(s sample) bool { return warm(s) || s.fate != NoAnswer }
 	failed := func(s sample) bool { return s.fate != Finished }
-	sum, parts := 0.0, 0.0
-	add := func(share, o float64) { sum, parts = sum+share*o, parts+share }
+	sum, shares := 0.0, 0.0
+	add := func(share, o float64) { sum, shares, parts = sum+share*o, shares+share, append(parts, o) }
 
 	test := func(share float64, c *Category, gaps ...float64) {
 		is := func(s sample) bool { return (c == nil || s.cat == c) && judged(s) }
-		bad, n := tally(now.samples, is, failed)
-		was, of := tally(before.samples, is, failed)
-		add(share, odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...))
-		if r.desk.Counted > 0 {
-			bad, n, was, of := 0.0, 0.0, 0.0, 0.0
-			for _, x := range r.counts {
-				switch {
-				case c != nil && x.Category != c:
-				case x.Build == now.build:
-					bad, n = bad+float64(x.Bad), n+float64(x.Samples)
-				case x.Build == before.build:
-					was, of = was+float64(x.Bad), of+float64(x.Samples)
-				}
-			}
-			add(share, odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...))
+		bad, n, hosts := tally(now.samples, is, failed)
+		was, of, _ := tally(before.samples, is, failed)
+		o := odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...)
+		if hosts == 1 {
+			o = min(o, single) // it may be the host
 		}
+		add(share, o)
 	}
 	test(1, nil, 0.06, 0.15, 0.4)
 	for _, c := range r.cats {
 		test(1/float64(len(r.cats)), c, 0.25, 0.6)
 	}
-	var strains []float64
-	for _, s := range before.samples {
-		if warm(s) {
-			strains = append(strains, s.strain)
+	for _, c := range r.cats {
+		if r.desk.Counted > 0 {
+			add(1/float64(len(r.cats)), r.tallied(c, now.build, before.build))
 		}
 	}
-	if len(strains) > 20 {
-		slices.Sort(strains)
-		limit := strains[len(strains)*17/20]
-		bad, n := tally(now.samples, warm, func(s sample) bool { return s.fate == NoAnswer || s.strain > limit })
-		add(1, odds(bad, n, 0.17, 0.2, 0.4))
-	}
+	add(1, drag(now.samples, before.samples, warm))
 	if r.desk.Complaints > 0 {
 		add(1, odds(float64(len(now.wrong)), float64(len(now.samples)),
 			max(0.003, float64(len(before.wrong))/float64(len(before.samples)+1)), 0.01, 0.04))
 	}
-	return sum / parts
+	return sum / shares, parts
 }
 
 // ---- Votes ----
@@ -768,7 +822,9 @@
 		if row.cast {
 			r.ballot.voice, r.ballot.at = voice, r.now
 			r.hands.Vote(r.news.Build, r.news.Stage, voice)
-			r.hands.Note(fmt.Sprintf("vote %d on build %d stage %d, odds of bad %.3g", voice, r.news.Build, r.news.Stage, r.weight()))
+			w, parts := r.weight()
+			r.hands.Note(fmt.Sprintf("votes %d on build %d in stage %d: odds of bad %.2g, mean of %.2g",
+				voice, r.news.Build, r.news.Stage, w, parts))
 		}
 		return
 	}
@@ -799,7 +855,7 @@
 	if !r.heard || r.news.Build == 0 || r.news.Phase == GoingBack || r.news.Phase == Withdrawn {
 		return NoVote
 	}
-	w := r.weight()
+	w, _ := r.weight()
 	limit := doubt
 	if r.news.Stage+1 >= len(r.desk.Caps) {
 		limit = min(1, sure+0.1*float64(r.now-r.staged-r.desk.LeastTime)/float64(Second))
@@ -822,8 +878,9 @@
 	if r.ballot.state == asked && r.now-r.ballot.at > r.desk.VoteTimeout+Second/2 {
 		r.poll(silent, 0)
 	}
-	if voice != r.ballot.voice && (voice != NoVote || r.ballot.state == stands) ||
-		voice != NoVote && (r.ballot.state == quiet || r.now-r.ballot.at > r.desk.VoteLife*7/10) {
+	const pause = Second // before a vote that did not count is cast again: the desk is not flooded
+	if voice != r.ballot.voice && (voice != NoVote || r.ballot.state == stands) || voice != NoVote &&
+		(r.ballot.state == quiet && r.now-r.ballot.at > pause || r.now-r.ballot.at > r.desk.VoteLife*7/10) {
 		r.poll(wants, voice)
 	}
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -274,6 +274,7 @@
 	fate          Fate
 	role          role
 	held, strain  float64
+	pace          float64 // service time where it was reported, else strain
 }
 
 // book keeps the last samples of one build.
