--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,7 +14,7 @@
 // NewRouter starts a router that knows nothing but its place.
 func NewRouter(now Time, p Place, hands Hands) *Router {
 	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers), location: p.Location,
-		cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{}}
+		cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{}, crowd: 0.3}
 	r.askList()
 	hands.WakeUp(judgeEvery, &Alarm{})
 	return r
@@ -54,6 +54,7 @@
 	case a.list:
 		r.askList()
 	case a.send == nil:
+		r.crowding()
 		r.judge()
 		r.hands.WakeUp(judgeEvery, a)
 	case a.send.fate == Out && !a.send.began:
@@ -143,13 +144,14 @@
 	if h.Up == 0 || r.now-h.Up >= r.limits.Cold {
 		return true
 	}
-	peers := 0
-	for _, p := range r.hosts {
-		if r.old(p) {
-			peers++
+	peers, of := 1, map[int]int{}
+	for _, p := range r.hosts { // by build, also those that left meanwhile: a lone newcomer is not due all their work
+		if since(p.sent, r.now-flowOver, nil) > 0 {
+			of[p.Build]++
+			peers = max(peers, of[p.Build])
 		}
 	}
-	rate := since(r.flow, r.now-flowOver, nil) / float64(flowOver) / float64(max(1, peers))
+	rate := since(r.flow, r.now-flowOver, nil) / float64(flowOver) / float64(peers)
 	strength := r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, r.now-h.Up))/float64(r.limits.Cold)
 	budget := part * r.limits.Tip * strength * float64(r.limits.TipFor) * rate
 	return since(h.sent, r.now-r.limits.TipFor, nil)+1 <= max(1, budget)
@@ -157,16 +159,30 @@
 
 // ---- Choosing a host ----
 
-// typical is what a finished send of the category usually takes.
+// typical is what a finished send of the category takes at a host that holds nothing else.
 func (c *Category) typical() Time {
-	if len(c.took) == 0 {
-		return max(1, c.Promised/4) // until something is known
+	if len(c.work) == 0 {
+		return max(1, c.Promised/5) // until something is known
 	}
-	var sum Time
-	for _, t := range c.took {
+	sum := 0.0
+	for _, t := range c.work {
 		sum += t
 	}
-	return max(1, sum/Time(len(c.took)))
+	return max(1, Time(sum/float64(len(c.work))))
+}
+
+// crowding fits how much each task that a host holds adds to the time of the next: a line through the last
+// finished sends. It is near 1 where hosts work on one task at a time and small where they have cores to spare.
+func (r *Router) crowding() {
+	var n, x, y, xx, xy float64
+	for _, s := range r.recent {
+		v := min(s.strain, 6) // one very long task says little
+		n, x, y, xx, xy = n+1, x+s.held, y+v, xx+s.held*s.held, xy+s.held*v
+	}
+	if d := n*xx - x*x; n >= 40 && d > 0 {
+		b := (n*xy - x*y) / d
+		r.crowd = min(1.5, max(0.02, b/max(0.1, (y-b*x)/n)))
+	}
 }
 
 // bound is the time that one in n of the category's finished sends takes longer than.
@@ -178,35 +194,47 @@
 	return sorted[len(sorted)-1-len(sorted)/n]
 }
 
-// held is how many tasks a host seems to have in hand: what it reported, with what was sent since, or else
-// this router's own open sends as a share of everyone's.
+// held is how many tasks a host seems to have in hand: what it reported, with what was sent since, or what its
+// rate and times say of the others' tasks, or else this router's own open sends as a share of everyone's.
 func (r *Router) held(h *Host) float64 {
-	own := float64(len(h.open))
-	if h.load == nil || r.now-h.loadAt > 2*Second || h.load.Active < 0 { // a report that old says little
-		return own * float64(r.routers)
-	}
-	since := 0.0
-	for _, s := range h.open {
-		if s.at >= h.loadAt {
-			since++
+	own, others := float64(len(h.open)), float64(r.routers-1)
+	switch l := h.load; {
+	case l == nil || r.now-h.loadAt > 2*Second: // a report that old says little
+	case l.Active >= 0:
+		since := 0.0
+		for _, s := range h.open {
+			if s.at >= h.loadAt {
+				since++
+			}
 		}
+		return max(own, l.Active+since)
+	case l.Rate >= 0 && l.Service >= 0:
+		return own + l.Rate*l.Service/float64(Second)*others/(others+1)
 	}
-	return max(own, h.load.Active+since)
+	return own * (others + 1)
 }
 
-// expected is how long a host would take over a task: what its last sends took against what is usual,
-// sends still out counting with their age, scaled by how much more it holds now than it held then.
+// expected is how long a host would take over a task: what is usual, with what it holds, times how slow its
+// last sends were against that; sends still out count with their age. Few sends prove little.
 func (r *Router) expected(h *Host, c *Category) float64 {
-	strain, held, n := 1.0, 0.5, 1.0
+	return float64(c.typical()) * r.pace(h) * (1 + r.crowd*r.held(h))
+}
+
+func (r *Router) pace(h *Host) float64 {
+	const doubt, old = 3.0, 10 * Second // as many usual sends are assumed; older ones are forgotten
+	pace, n := doubt, doubt
 	for _, p := range h.past {
-		strain, held, n = strain+p.strain, held+p.held, n+1
+		if r.now-p.at < old {
+			pace, n = pace+p.strain/(1+r.crowd*p.held), n+1
+		}
 	}
 	for _, s := range h.open {
-		if x := float64(r.now-s.at) / float64(s.Task.Category.typical()); x > 2 {
-			strain, held, n = strain+x, held+s.held, n+1
+		usual := float64(s.Task.Category.typical()) * (1 + r.crowd*s.held)
+		if x := float64(r.now-s.at) / usual; x > 2 {
+			pace, n = pace+x, n+1
 		}
 	}
-	return float64(c.typical()) * strain / n * (1 + r.held(h)) / (1 + held/n)
+	return pace / n
 }
 
 // pick draws two hosts at random among those nearby and two among the rest, and takes the least loss expected:
@@ -222,22 +250,30 @@
 			far = append(far, h)
 		}
 	}
-	least := math.Inf(1)
-	for i, list := range [][]*Host{near, near, far, far} {
-		if len(list) == 0 {
-			continue
-		}
-		h := list[r.chance(len(list))]
-		wait := r.expected(h, t.Category) / float64(t.Category.Promised)
-		loss := wait * wait
-		if i > 1 {
-			loss += r.limits.CrossPrice
+	draw := func(from []*Host) (best *Host) {
+		for range min(2, len(from)) {
+			h := from[r.chance(len(from))]
+			if best == nil || r.pace(h)*(1+r.held(h)) < r.pace(best)*(1+r.held(best)) {
+				best = h
+			}
 		}
-		if loss < least {
-			best, least = h, loss
+		return best
+	}
+	a, b := draw(near), draw(far)
+	if a == nil || b == nil {
+		if a == nil {
+			return b
 		}
+		return a
+	}
+	risk := func(h *Host) float64 {
+		x := r.expected(h, t.Category) / float64(t.Category.Promised)
+		return min(1, x*x)
 	}
-	return best
+	if risk(a) > risk(b)+r.limits.CrossPrice {
+		return b
+	}
+	return a
 }
 
 // mayGo keeps repeats among the hosts that drop them, and off hosts that the task has already tried.
@@ -557,6 +593,8 @@
 	}
 	if s.fate == Finished && r.old(h) {
 		c.took = keep(c.took, took, 64)
+		c.work = keep(c.work, float64(took)/(1+r.crowd*s.held), 64)
+		r.recent = keep(r.recent, x, 150)
 	}
 	h.past = append(h.past, x)
 	if len(h.past) > 8 { // enough to tell a slow host, few enough to forget one quickly
@@ -654,8 +692,8 @@
 	return mean
 }
 
-// tally counts the samples that a test calls bad. Of several hosts the one with most bad ones is left out, so
-// that a host that is sick on its own does not speak for its build.
+// tally counts the samples that a test calls bad, and the hosts with any. The worst quarter of several hosts
+// is left out, so that hosts that are sick on their own do not speak for their build.
 func tally(all []sample, of, isBad func(sample) bool) (bad, n float64, hosts int) {
 	type sum struct {
 		host   *Host
@@ -674,57 +712,62 @@
 			sums[i].bad++
 		}
 	}
-	worst := 0
-	for i, x := range sums {
-		bad, n = bad+x.bad, n+x.n
-		if x.bad > sums[worst].bad {
-			worst = i
+	slices.SortStableFunc(sums, func(a, b sum) int { return int(a.bad - b.bad) })
+	left := max(0, min(len(sums)-1, (len(sums)+3)/4))
+	for _, x := range sums[:len(sums)-left] {
+		if bad, n = bad+x.bad, n+x.n; x.bad > 0 {
+			hosts++
 		}
 	}
-	if len(sums) > 1 && sums[worst].bad > 1 {
-		bad, n = bad-sums[worst].bad, n-sums[worst].n
-	}
-	return bad, n, len(sums)
+	return bad, n, hosts
 }
 
+// spoken bounds the odds by the number of hosts that speak for them: each may at most triple them.
+func spoken(o float64, hosts int) float64 { return min(o, math.Pow(3, float64(max(1, hosts)))) }
+
 // drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow again
 // or more against no slower, host by host, since hosts differ among themselves however many sends they answer.
 // What a host reports of its service time goes before what its answers took, which shows its queue too.
-func drag(now, before []sample, of func(sample) bool) float64 {
+func drag(now, before []sample, of func(sample) bool, apart float64) float64 {
 	const differ, scatter = 0.2, 0.5 // variance is the square of the one, and the other by number of sends
-	const more = 0.47                // log of 1.6: half as slow again shows in a fleet that is half full
-	paces := func(all []sample) (mean, spread float64) {
-		hosts, n := map[*Host][2]float64{}, 0.0
+	const more = 0.6                 // log of 1.8: a fleet that is half full feels that
+	paces := func(all []sample) (middle, variance float64, n int) {
+		hosts := map[*Host][2]float64{}
 		var order []*Host
 		for _, s := range all {
 			if of(s) {
-				x := hosts[s.host]
-				if x[1] == 0 {
+				if _, ok := hosts[s.host]; !ok {
 					order = append(order, s.host)
 				}
+				x := hosts[s.host]
 				hosts[s.host] = [2]float64{x[0] + s.pace, x[1] + 1}
 			}
 		}
+		var logs []float64
 		for _, h := range order {
 			if x := hosts[h]; x[1] >= 3 {
-				mean, spread, n = mean+math.Log(x[0]/x[1]), spread+differ*differ+scatter/x[1], n+1
+				logs, variance = append(logs, math.Log(x[0]/x[1])), variance+differ*differ+scatter/x[1]
 			}
 		}
-		return mean / n, spread / n / n
+		if n = len(logs); n == 0 {
+			return 0, 1, 0
+		}
+		slices.Sort(logs)
+		return (logs[(n-1)/2] + logs[n/2]) / 2, variance / float64(n*n), n
 	}
-	fresh, a := paces(now)
-	usual, b := paces(before)
-	if math.IsNaN(fresh + usual) {
+	fresh, a, n := paces(now)
+	usual, b, of0 := paces(before)
+	if n == 0 || of0 == 0 {
 		return 1
 	}
-	return math.Exp(max(-6, min(6, ((fresh-usual)*more-more*more/2)/(a+b))))
+	return spoken(math.Exp(max(-6, min(6, ((fresh-usual)*more-more*more/2)/(a+b+apart)))), n)
 }
 
 // tallied weighs what the desk counted of a category over all routers. It tells hosts of a build apart no
 // more than it tells why they fail, so only failures far beyond what one sick host brings count, and several
 // hosts must run the build.
 func (r *Router) tallied(c *Category, now, before int) float64 {
-	const floor, few = 0.1, 4
+	const floor = 0.1
 	var bad, n, was, of float64
 	for _, x := range r.counts {
 		switch {
@@ -741,18 +784,13 @@
 			hosts++
 		}
 	}
-	o := odds(bad, n, max(floor, (was+0.5)/(of+1)), 0.25, 0.6)
-	if hosts < few {
-		return min(o, 3)
-	}
-	return o
+	return spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), 0.25, 0.6), hosts)
 }
 
 // weight is the evidence that the newest build is bad, in odds; 1 is none. Copies are judged against the
 // sends at the build before it: failures over all and by category, slowness, complaints, the desk's counts.
 func (r *Router) weight() (mean float64, parts []float64) {
 	const floor = 0.01 // least usual failure share; a stray error in the first copies is no proof
-	const single = 3   // under what holds a stage back: the next one brings more hosts to compare
 	now, before := r.book(r.news.Build), (*book)(nil)
 	for _, b := range r.books {
 		if b.build < r.news.Build && len(b.samples) > 20 && (before == nil || b.build > before.build) {
@@ -773,22 +811,22 @@
 		is := func(s sample) bool { return (c == nil || s.cat == c) && judged(s) }
 		bad, n, hosts := tally(now.samples, is, failed)
 		was, of, _ := tally(before.samples, is, failed)
-		o := odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...)
-		if hosts == 1 {
-			o = min(o, single) // it may be the host
-		}
-		add(share, o)
+		add(share, spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...), hosts))
 	}
 	test(1, nil, 0.06, 0.15, 0.4)
 	for _, c := range r.cats {
 		test(1/float64(len(r.cats)), c, 0.25, 0.6)
 	}
 	for _, c := range r.cats {
-		if r.desk.Counted > 0 {
+		if r.desk.Counted > 0 && c.Repeat != Retriable {
 			add(1/float64(len(r.cats)), r.tallied(c, now.build, before.build))
 		}
 	}
-	add(1, drag(now.samples, before.samples, warm))
+	apart := 0.04 // variance between two sets of hosts whose builds are equally good
+	if r.news.Phase == Released {
+		apart = 0.16 // and between two times: a jam after the release is not the build's
+	}
+	add(1, drag(now.samples, before.samples, warm, apart))
 	if r.desk.Complaints > 0 {
 		add(1, odds(float64(len(now.wrong)), float64(len(now.samples)),
 			max(0.003, float64(len(before.wrong))/float64(len(before.samples)+1)), 0.01, 0.04))
--- a/logic/types.go
+++ b/logic/types.go
@@ -35,7 +35,8 @@
 	Earnings  float64
 	LateShare float64 // share of the earnings left after the promised time
 
-	took []Time // what finished sends took lately
+	took []Time    // what finished sends took lately
+	work []float64 // the same, less what the host's other tasks added
 }
 
 // Customer is whoever pays for a task.
@@ -89,7 +90,7 @@
 }
 
 // Load is what a host reports of itself; a negative figure was not reported.
-type Load struct{ Active, Waiting, Busy, Service float64 }
+type Load struct{ Active, Waiting, Busy, Service, Rate float64 }
 
 // Task is one call that the router has taken.
 type Task struct {
@@ -311,7 +312,9 @@
 	hosts    []*Host
 	news     News
 	heard    bool
-	staged   Time // when the present stage was first told
+	crowd    float64  // what each task that a host holds adds to the time of the next, as a share
+	recent   []sample // finished sends at earlier builds
+	staged   Time     // when the present stage was first told
 	taken    []moment
 	tried    []moment
 	flow     []moment
