--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,6 +55,7 @@
 		r.askList()
 	case a.send == nil:
 		r.crowding()
+		r.jamming()
 		r.judge()
 		r.hands.WakeUp(judgeEvery, a)
 	case a.send.fate == Out && !a.send.began:
@@ -161,14 +162,10 @@
 
 // typical is what a finished send of the category takes at a host that holds nothing else.
 func (c *Category) typical() Time {
-	if len(c.work) == 0 {
+	if c.mid == 0 {
 		return max(1, c.Promised/5) // until something is known
 	}
-	sum := 0.0
-	for _, t := range c.work {
-		sum += t
-	}
-	return max(1, Time(sum/float64(len(c.work))))
+	return c.mid
 }
 
 // crowding fits how much each task that a host holds adds to the time of the next: a line through the last
@@ -194,8 +191,8 @@
 	return sorted[len(sorted)-1-len(sorted)/n]
 }
 
-// held is how many tasks a host seems to have in hand: what it reported, with what was sent since, or what its
-// rate and times say of the others' tasks, or else this router's own open sends as a share of everyone's.
+// held is how many tasks a host seems to have in hand: what it reported, with what was sent since, or else
+// this router's own open sends as a share of everyone's. A reported rate is no help: it calls all routers at once.
 func (r *Router) held(h *Host) float64 {
 	own, others := float64(len(h.open)), float64(r.routers-1)
 	switch l := h.load; {
@@ -208,8 +205,6 @@
 			}
 		}
 		return max(own, l.Active+since)
-	case l.Rate >= 0 && l.Service >= 0:
-		return own + l.Rate*l.Service/float64(Second)*others/(others+1)
 	}
 	return own * (others + 1)
 }
@@ -413,18 +408,36 @@
 		r.send(t, h, lone)
 		return
 	}
-	if h = r.earlier(t); h == nil || r.tooLate(t, h) {
+	if h = r.earlier(t); h == nil || r.tooLate(t) {
 		r.settle(t)
 		return
 	}
 	r.send(t, h, original)
 }
 
-// tooLate turns a task back early when the host that it would get is expected to answer after the promised
-// time; the less a task earns for its time, the sooner, and sooner yet beyond its customer's share.
-func (r *Router) tooLate(t *Task, h *Host) bool {
-	const low, beyond = 0.7, 0.5 // of the promised time: room for the better ones when the fleet is full
-	limit, better := 1.0, 0
+// jamming works out how often longer than usual the fleet's answers take: what is out at hosts that work, by
+// the rate at which work is answered. As what is out drains it falls, so it cannot lock itself.
+func (r *Router) jamming() {
+	const over, few = 2 * Second, 20 // answers fewer than that tell no rate
+	done, out, n := 0.0, 0.0, len(r.done)
+	for ; n > 0 && r.done[n-1].at > r.now-over; n-- {
+		done += float64(r.done[n-1].cat.typical())
+	}
+	for _, h := range r.hosts {
+		if h.health == fit {
+			out += float64(len(h.open))
+		}
+	}
+	if r.jam = 1; len(r.done)-n >= few {
+		r.jam = out * float64(min(over, r.now-r.born)) / done
+	}
+}
+
+// tooLate turns a task back early when the fleet would answer it too late. The less a task earns for its time,
+// the sooner, and sooner yet beyond its customer's share.
+func (r *Router) tooLate(t *Task) bool {
+	const high, low, beyond = 0.7, 0.5, 0.5 // of the promised time: the tail is longer than the mean
+	limit, better := high, 0
 	for _, c := range r.cats {
 		if c.Earnings*float64(t.Category.typical()) > t.Category.Earnings*float64(c.typical()) {
 			better++
@@ -436,7 +449,7 @@
 	if c := t.Customer; c != nil && since(c.taken, r.now-2*Second, nil) > 2.4*c.PerSecond/float64(r.routers) {
 		limit *= beyond
 	}
-	return r.expected(h, t.Category) > limit*float64(min(t.Category.Promised, t.Patience))
+	return r.jam*float64(t.Category.typical()) > limit*float64(min(t.Category.Promised, t.Patience))
 }
 
 // mayRepeat tells whether a second run of the task does no harm anywhere.
@@ -472,14 +485,16 @@
 // spare tells whether the budget has room for a further send, so that a slow fleet is not given more work.
 func (r *Router) spare() bool {
 	const over, few, oneIn = 5 * Second, 4, 8 // one for every eight tasks taken lately, and a few
-	return since(r.extra, r.now-over, nil) < few+since(r.taken, r.now-over, nil)/oneIn
+	const full = 3                            // times longer than usual: answers are slow for want of hosts, not luck
+	return r.jam < full && since(r.extra, r.now-over, nil) < few+since(r.taken, r.now-over, nil)/oneIn
 }
 
 // more sends a task once more where that is allowed, affordable and can still be in time. What follows a lone
-// copy is its original, which no budget holds back.
+// copy, or a send that this router cut short, no budget holds back: it was asked when that one was sent.
 func (r *Router) more(t *Task) bool {
 	left := t.at + t.Patience - r.now
-	first := t.Sends[len(t.Sends)-1].role == lone
+	last := t.Sends[len(t.Sends)-1]
+	first := last.role == lone || last.fate == NoAnswer && !r.limits.TwoAtOnce // this router cut it short
 	if len(t.Sends) >= r.limits.MaxSends || left < t.Category.typical()/2 || !first && !r.spare() {
 		return false
 	}
@@ -546,6 +561,9 @@
 	}
 	r.learn(s, took)
 	in := mayHaveRun
+	if fate == Finished {
+		r.done = keep(r.done, moment{now, t.Category}, 4096)
+	}
 	switch {
 	case done || fate == Finished:
 		in = ends
@@ -594,6 +612,8 @@
 	if s.fate == Finished && r.old(h) {
 		c.took = keep(c.took, took, 64)
 		c.work = keep(c.work, float64(took)/(1+r.crowd*s.held), 64)
+		sorted := slices.Sorted(slices.Values(c.work)) // the middle and a third, for the tail: slow hosts weigh little
+		c.mid = max(1, Time(sorted[len(sorted)/2]*4/3))
 		r.recent = keep(r.recent, x, 150)
 	}
 	h.past = append(h.past, x)
--- a/logic/types.go
+++ b/logic/types.go
@@ -37,6 +37,7 @@
 
 	took []Time    // what finished sends took lately
 	work []float64 // the same, less what the host's other tasks added
+	mid  Time      // the middle of that
 }
 
 // Customer is whoever pays for a task.
@@ -46,8 +47,8 @@
 	taken []moment
 }
 
-// Location is where hosts and routers stand.
-type Location struct{}
+// Location is where hosts and routers stand. It is told by its address alone, so it must not be of size zero.
+type Location struct{ _ byte }
 
 // Standing is what the host list says of a host.
 type Standing int
@@ -312,12 +313,14 @@
 	hosts    []*Host
 	news     News
 	heard    bool
+	jam      float64  // how often longer than usual the fleet's answers take now
 	crowd    float64  // what each task that a host holds adds to the time of the next, as a share
 	recent   []sample // finished sends at earlier builds
 	staged   Time     // when the present stage was first told
 	taken    []moment
 	tried    []moment
 	flow     []moment
+	done     []moment
 	extra    []moment
 	kept     map[string]int
 	books    []*book
