--- a/logic/logic.go
+++ b/logic/logic.go
@@ -325,13 +325,13 @@
 // onTrial picks a host for a copy, or nil where one is not allowed or not wanted. Categories with an effect
 // go there only after the guarded stages, and only until they have been judged.
 func (r *Router) onTrial(t *Task) *Host {
-	const part = 0.7  // of what hosts of the earlier build get now, so that the trial's own load proves nothing
-	const enough = 16 // sends of a category with an effect: a quarter of them failing would long have shown
+	const part = 0.7                // of what hosts of the earlier build get now, so that the trial's own load proves nothing
+	const cleared, guilty = 0.1, 30 // odds: a category with an effect is risked no more than judging it takes
 	const lately = 2 * Second
 	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || !r.room(r.news.Build, t.Category) {
 		return nil
 	}
-	peers, hosts, met := 0.0, 0.0, 0
+	peers, hosts := 0.0, 0.0
 	for _, h := range r.hosts {
 		if r.old(h) {
 			peers++
@@ -339,13 +339,9 @@
 			hosts++
 		}
 	}
-	for _, s := range r.book(r.news.Build).samples {
-		if s.cat == t.Category {
-			met++
-		}
-	}
 	fair := part * since(r.flow, r.now-lately, nil) / max(1, peers) * hosts
-	if since(r.tried, r.now-lately, nil)+1 > max(1, fair) || t.Category.Repeat != Retriable && met >= enough {
+	if since(r.tried, r.now-lately, nil)+1 > max(1, fair) ||
+		t.Category.Repeat != Retriable && (t.Category.odds < cleared || t.Category.odds > guilty) {
 		return nil
 	}
 	return r.pick(t, func(h *Host) bool { return h.Build == r.news.Build && h.health != sick })
@@ -742,8 +738,8 @@
 	return bad, n, hosts
 }
 
-// spoken bounds the odds by the number of hosts that speak for them: each may at most triple them.
-func spoken(o float64, hosts int) float64 { return min(o, math.Pow(3, float64(max(1, hosts)))) }
+// spoken bounds the odds by the number of hosts that speak for them: each may at most quadruple them.
+func spoken(o float64, hosts int) float64 { return min(o, math.Pow(4, float64(max(1, hosts)))) }
 
 // drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow again
 // or more against no slower, host by host, since hosts differ among themselves however many sends they answer.
@@ -827,15 +823,21 @@
 	sum, shares := 0.0, 0.0
 	add := func(share, o float64) { sum, shares, parts = sum+share*o, shares+share, append(parts, o) }
 
-	test := func(share float64, c *Category, gaps ...float64) {
+	test := func(share float64, c *Category, gaps ...float64) float64 {
 		is := func(s sample) bool { return (c == nil || s.cat == c) && judged(s) }
 		bad, n, hosts := tally(now.samples, is, failed)
 		was, of, _ := tally(before.samples, is, failed)
-		add(share, spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...), hosts))
+		o := spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...), hosts)
+		add(share, o)
+		return o
+	}
+	small, large, whole := 0.06, 0.15, 0.25
+	if r.news.Phase == Released { // the earlier machines are gone: a small harm is cheaper than going back
+		small, large, whole = 0.3, 0.5, 0.5
 	}
-	test(1, nil, 0.06, 0.15, 0.4)
+	test(1, nil, small, large, 0.6)
 	for _, c := range r.cats {
-		test(1/float64(len(r.cats)), c, 0.25, 0.6)
+		c.odds = test(1/float64(len(r.cats)), c, whole, 0.7)
 	}
 	for _, c := range r.cats {
 		if r.desk.Counted > 0 && c.Repeat != Retriable {
@@ -908,15 +910,17 @@
 // verdict turns the weight of the evidence into a vote. A move that exposes little needs no proof, as sends at
 // the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
 func (r *Router) verdict() Voice {
-	const alarm, lateAlarm = 30.0, 60.0 // one good build in so many is sent back by chance
-	const doubt, sure = 4.0, 0.35       // on in a stage unless in doubt; release when fairly sure
+	const alarm, lateAlarm = 8.0, 30.0 // one good build in so many, at the most, is sent back by chance
+	const doubt, sure = 4.0, 0.3       // on in a stage unless in doubt; release when fairly sure
+	const softer, bear = 0.02, 0.2     // a second of waiting costs so much of that, and of the worst test
 	if !r.heard || r.news.Build == 0 || r.news.Phase == GoingBack || r.news.Phase == Withdrawn {
 		return NoVote
 	}
-	w, _ := r.weight()
-	limit := doubt
+	w, parts := r.weight()
+	limit, worst := doubt, math.Inf(1)
 	if r.news.Stage+1 >= len(r.desk.Caps) {
-		limit = min(1, sure+0.1*float64(r.now-r.staged-r.desk.LeastTime)/float64(Second))
+		waited := float64(max(0, r.now-r.staged-r.desk.LeastTime)) / float64(Second)
+		limit, worst = min(1, sure+softer*waited), 1+bear*waited
 	}
 	switch {
 	case r.news.Phase == Released && w > lateAlarm, r.news.Phase == OnTrial && w > alarm:
@@ -925,7 +929,7 @@
 		return NoVote
 	case r.desk.Control == Clock && w > doubt:
 		return Hold
-	case r.desk.Control != Clock && w < limit:
+	case r.desk.Control != Clock && w < limit && len(parts) > 0 && slices.Max(parts) <= worst:
 		return On
 	}
 	return NoVote
--- a/logic/types.go
+++ b/logic/types.go
@@ -38,6 +38,7 @@
 	took []Time    // what finished sends took lately
 	work []float64 // the same, less what the host's other tasks added
 	mid  Time      // the middle of that
+	odds float64   // that the build on trial fails it
 }
 
 // Customer is whoever pays for a task.
