--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,7 +14,8 @@
 // NewRouter starts a router that knows nothing but its place.
 func NewRouter(now Time, p Place, hands Hands) *Router {
 	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers), location: p.Location,
-		cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{}, crowd: 0.3}
+		cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{},
+		crowd: 0.3, peril: 0.02, jam: 1} // until there are samples: a fleet that is neither idle nor full
 	r.askList()
 	hands.WakeUp(judgeEvery, &Alarm{})
 	return r
@@ -168,17 +169,22 @@
 	return c.mid
 }
 
-// crowding fits how much each task that a host holds adds to the time of the next: a line through the last
-// finished sends. It is near 1 where hosts work on one task at a time and small where they have cores to spare.
+// crowding fits, by lines through the last finished sends, how much each task that a host holds adds to the time
+// of the next, and to its chance to miss the promised time. The first is near 1 where hosts work on one task at
+// a time and small where they have cores to spare.
 func (r *Router) crowding() {
-	var n, x, y, xx, xy float64
+	var n, x, y, z, xx, xy, xz float64
 	for _, s := range r.recent {
-		v := min(s.strain, 6) // one very long task says little
-		n, x, y, xx, xy = n+1, x+s.held, y+v, xx+s.held*s.held, xy+s.held*v
+		v, miss := min(s.strain, 6), 0.0 // one very long task says little
+		if s.took > s.cat.Promised {
+			miss = 1
+		}
+		n, x, y, z, xx, xy, xz = n+1, x+s.held, y+v, z+miss, xx+s.held*s.held, xy+s.held*v, xz+s.held*miss
 	}
 	if d := n*xx - x*x; n >= 40 && d > 0 {
 		b := (n*xy - x*y) / d
 		r.crowd = min(1.5, max(0.02, b/max(0.1, (y-b*x)/n)))
+		r.peril = min(0.2, max(0.005, (n*xz-x*z)/d)) // never nothing: what has not jammed yet still may
 	}
 }
 
@@ -232,8 +238,8 @@
 	return pace / n
 }
 
-// pick draws two hosts at random among those nearby and two among the rest, and takes the least loss expected:
-// the chance to miss the promised time, and the price of crossing.
+// pick draws two hosts at random among those nearby and two among the rest, and takes the less busy one; the
+// far one only if the promised time is so much likelier to be kept there that it is worth the price.
 func (r *Router) pick(t *Task, fits func(*Host) bool) (best *Host) {
 	var near, far []*Host
 	for _, h := range r.hosts {
@@ -245,27 +251,17 @@
 			far = append(far, h)
 		}
 	}
+	busy := func(h *Host) float64 { return r.pace(h) * (1 + r.held(h)) }
 	draw := func(from []*Host) (best *Host) {
 		for range min(2, len(from)) {
-			h := from[r.chance(len(from))]
-			if best == nil || r.pace(h)*(1+r.held(h)) < r.pace(best)*(1+r.held(best)) {
+			if h := from[r.chance(len(from))]; best == nil || busy(h) < busy(best) {
 				best = h
 			}
 		}
 		return best
 	}
 	a, b := draw(near), draw(far)
-	if a == nil || b == nil {
-		if a == nil {
-			return b
-		}
-		return a
-	}
-	risk := func(h *Host) float64 {
-		x := r.expected(h, t.Category) / float64(t.Category.Promised)
-		return min(1, x*x)
-	}
-	if risk(a) > risk(b)+r.limits.CrossPrice {
+	if a == nil || b != nil && r.peril*(busy(a)-busy(b)) > r.limits.CrossPrice {
 		return b
 	}
 	return a
@@ -555,7 +551,7 @@
 	if load != nil {
 		h.load, h.loadAt = load, now
 	}
-	r.learn(s, took)
+	r.learn(s, took, load)
 	in := mayHaveRun
 	if fate == Finished {
 		r.done = keep(r.done, moment{now, t.Category}, 4096)
@@ -592,15 +588,17 @@
 }
 
 // learn keeps what a send showed, of its host, its category and its build, and reviews the host's health.
-func (r *Router) learn(s *Send, took Time) {
+func (r *Router) learn(s *Send, took Time, load *Load) {
 	h, c := s.Host, s.Task.Category
 	if s.fate == NeverSent || s.fate == CalledOff || s.up != h.Up || s.build != h.Build {
 		return
 	}
 	x := sample{at: r.now, took: took, age: s.at - s.up, host: h, cat: c, fate: s.fate, role: s.role, held: s.held,
 		strain: float64(took) / float64(c.typical())}
-	if x.pace = max(0.01, x.strain); h.load != nil && h.load.Service > 0 {
-		x.pace = h.load.Service
+	if x.pace = max(0.01, x.strain); load != nil && load.Service > 0 {
+		x.pace, r.timed = load.Service, true
+	} else if r.timed {
+		x.pace = 0 // no report, no figure
 	}
 	if s.up == 0 {
 		x.age = math.MaxInt32
@@ -610,7 +608,7 @@
 		c.work = keep(c.work, float64(took)/(1+r.crowd*s.held), 64)
 		sorted := slices.Sorted(slices.Values(c.work)) // the middle and a third, for the tail: slow hosts weigh little
 		c.mid = max(1, Time(sorted[len(sorted)/2]*4/3))
-		r.recent = keep(r.recent, x, 150)
+		r.recent = keep(r.recent, x, 200)
 	}
 	h.past = append(h.past, x)
 	if len(h.past) > 8 { // enough to tell a slow host, few enough to forget one quickly
@@ -685,7 +683,12 @@
 
 // Counted takes in what the desk counted.
 func (r *Router) Counted(now Time, c Count) {
-	r.now, c.at = now, now
+	r.now = now
+	for _, h := range r.hosts {
+		if h.Build == c.Build && len(h.past) > 0 {
+			c.hosts++
+		}
+	}
 	r.counts = keep(r.counts, c, 100)
 }
 
@@ -751,7 +754,7 @@
 		hosts := map[*Host][2]float64{}
 		var order []*Host
 		for _, s := range all {
-			if of(s) {
+			if of(s) && s.pace > 0 {
 				if _, ok := hosts[s.host]; !ok {
 					order = append(order, s.host)
 				}
@@ -779,27 +782,21 @@
 	return spoken(math.Exp(max(-6, min(6, ((fresh-usual)*more-more*more/2)/(a+b+apart)))), n)
 }
 
-// tallied weighs what the desk counted of a category over all routers. It tells hosts of a build apart no
-// more than it tells why they fail, so only failures far beyond what one sick host brings count, and several
-// hosts must run the build.
+// tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build apart,
+// so only what it counted at several counts, and only failures far beyond what one sick host brings.
 func (r *Router) tallied(c *Category, now, before int) float64 {
-	const floor = 0.1
+	const floor, few = 0.1, 4
 	var bad, n, was, of float64
+	hosts := 0
 	for _, x := range r.counts {
 		switch {
-		case x.Category != c:
+		case x.Category != c || x.hosts < few:
 		case x.Build == now:
-			bad, n = bad+float64(x.Bad), n+float64(x.Samples)
+			bad, n, hosts = bad+float64(x.Bad), n+float64(x.Samples), x.hosts
 		case x.Build == before:
 			was, of = was+float64(x.Bad), of+float64(x.Samples)
 		}
 	}
-	hosts := 0
-	for _, h := range r.hosts {
-		if h.Build == now && h.Standing == Serving {
-			hosts++
-		}
-	}
 	return spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), 0.25, 0.6), hosts)
 }
 
--- a/logic/types.go
+++ b/logic/types.go
@@ -181,7 +181,7 @@
 	Mean         Time
 	Age          Time
 
-	at Time
+	hosts int // that ran the build and had answered when the count came
 }
 
 // Voice is what a vote says.
@@ -315,6 +315,7 @@
 	news     News
 	heard    bool
 	jam      float64  // how often longer than usual the fleet's answers take now
+	peril    float64  // what each such task adds to the chance to miss the promised time
 	crowd    float64  // what each task that a host holds adds to the time of the next, as a share
 	recent   []sample // finished sends at earlier builds
 	staged   Time     // when the present stage was first told
@@ -327,7 +328,8 @@
 	books    []*book
 	counts   []Count
 	ballot   ballot
-	lost     int // list calls that failed in a row
+	timed    bool // reports tell service times
+	lost     int  // list calls that failed in a row
 }
 
 type (
