--- a/logic/logic.go
+++ b/logic/logic.go
@@ -408,19 +408,19 @@
 }
 
 // jamming works out how often longer than usual the fleet's answers take: what is out at hosts that work, by
-// the rate at which work is answered. As what is out drains it falls, so it cannot lock itself.
+// the rate at which work is answered. As what is out drains it falls, and a fleet is never left idle.
 func (r *Router) jamming() {
-	const over, few = 2 * Second, 20 // answers fewer than that tell no rate
-	done, out, n := 0.0, 0.0, len(r.done)
-	for ; n > 0 && r.done[n-1].at > r.now-over; n-- {
-		done += float64(r.done[n-1].cat.typical())
+	const over = 2 * Second
+	done, out, hosts := 1.0, 0.0, 0.0
+	for n := len(r.done) - 1; n >= 0 && r.done[n].at > r.now-over; n-- {
+		done += float64(r.done[n].cat.typical())
 	}
 	for _, h := range r.hosts {
-		if h.health == fit {
-			out += float64(len(h.open))
+		if h.health == fit && r.old(h) {
+			out, hosts = out+float64(len(h.open)), hosts+1
 		}
 	}
-	if r.jam = 1; len(r.done)-n >= few {
+	if r.jam = 0; out*float64(r.routers) > hosts {
 		r.jam = out * float64(min(over, r.now-r.born)) / done
 	}
 }
@@ -595,11 +595,12 @@
 	}
 	x := sample{at: r.now, took: took, age: s.at - s.up, host: h, cat: c, fate: s.fate, role: s.role, held: s.held,
 		strain: float64(took) / float64(c.typical())}
-	if x.pace = max(0.01, x.strain); load != nil && load.Service > 0 {
+	if x.pace = float64(took); load != nil && load.Service > 0 {
 		x.pace, r.timed = load.Service, true
 	} else if r.timed {
 		x.pace = 0 // no report, no figure
 	}
+	x.usual = float64(c.typical())
 	if s.up == 0 {
 		x.age = math.MaxInt32
 	}
@@ -751,7 +752,7 @@
 	const differ, scatter = 0.2, 0.5 // variance is the square of the one, and the other by number of sends
 	const more = 0.6                 // log of 1.8: a fleet that is half full feels that
 	paces := func(all []sample) (middle, variance float64, n int) {
-		hosts := map[*Host][2]float64{}
+		hosts := map[*Host][3]float64{}
 		var order []*Host
 		for _, s := range all {
 			if of(s) && s.pace > 0 {
@@ -759,13 +760,13 @@
 					order = append(order, s.host)
 				}
 				x := hosts[s.host]
-				hosts[s.host] = [2]float64{x[0] + s.pace, x[1] + 1}
+				hosts[s.host] = [3]float64{x[0] + s.pace, x[1] + s.usual, x[2] + 1}
 			}
 		}
 		var logs []float64
 		for _, h := range order {
-			if x := hosts[h]; x[1] >= 3 {
-				logs, variance = append(logs, math.Log(x[0]/x[1])), variance+differ*differ+scatter/x[1]
+			if x := hosts[h]; x[2] >= 3 {
+				logs, variance = append(logs, math.Log(x[0]/x[1])), variance+differ*differ+scatter/x[2]
 			}
 		}
 		if n = len(logs); n == 0 {
--- a/logic/types.go
+++ b/logic/types.go
@@ -277,7 +277,7 @@
 	fate          Fate
 	role          role
 	held, strain  float64
-	pace          float64 // service time where it was reported, else strain
+	pace, usual   float64 // service time where it was reported, else what it took; and what is usual
 }
 
 // book keeps the last samples of one build.
