Clear a build on all its hosts, convict it on the better ones

Good builds went back on one struck host or on noisy service figures; a weak bad one passed because its failing host was left out.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -215,18 +215,14 @@
 	return own * (others + 1)
 }
 
-// expected is how long a host would take over a task: what is usual, with what it holds, times how slow its
-// last sends were against that; sends still out count with their age. Few sends prove little.
-func (r *Router) expected(h *Host, c *Category) float64 {
-	return float64(c.typical()) * r.pace(h) * (1 + r.crowd*r.held(h))
-}
-
+// pace is how slow a host's last sends were against what is usual, given what it held; sends still out count
+// with their age. Few sends prove little.
 func (r *Router) pace(h *Host) float64 {
 	const doubt, old = 3.0, 10 * Second // as many usual sends are assumed; older ones are forgotten
 	pace, n := doubt, doubt
 	for _, p := range h.past {
 		if r.now-p.at < old {
-			pace, n = pace+p.strain/(1+r.crowd*p.held), n+1
+			pace, n = pace+p.pace, n+1
 		}
 	}
 	for _, s := range h.open {
@@ -551,7 +547,7 @@
 	if load != nil {
 		h.load, h.loadAt = load, now
 	}
-	r.learn(s, took, load)
+	r.learn(s, took)
 	in := mayHaveRun
 	if fate == Finished {
 		r.done = keep(r.done, moment{now, t.Category}, 4096)
@@ -588,19 +584,14 @@
 }
 
 // learn keeps what a send showed, of its host, its category and its build, and reviews the host's health.
-func (r *Router) learn(s *Send, took Time, load *Load) {
+func (r *Router) learn(s *Send, took Time) {
 	h, c := s.Host, s.Task.Category
 	if s.fate == NeverSent || s.fate == CalledOff || s.up != h.Up || s.build != h.Build {
 		return
 	}
 	x := sample{at: r.now, took: took, age: s.at - s.up, host: h, cat: c, fate: s.fate, role: s.role, held: s.held,
 		strain: float64(took) / float64(c.typical())}
-	if x.pace = float64(took); load != nil && load.Service > 0 {
-		x.pace, r.timed = load.Service, true
-	} else if r.timed {
-		x.pace = 0 // no report, no figure
-	}
-	x.usual = float64(c.typical())
+	x.pace = x.strain / (1 + r.crowd*s.held)
 	if s.up == 0 {
 		x.age = math.MaxInt32
 	}
@@ -712,9 +703,9 @@
 	return mean
 }
 
-// tally counts the samples that a test calls bad, and the hosts with any. The worst quarter of several hosts
-// is left out, so that hosts that are sick on their own do not speak for their build.
-func tally(all []sample, of, isBad func(sample) bool) (bad, n float64, hosts int) {
+// tally counts the samples that a test calls bad, and the hosts with any. To convict a build the worst quarter of
+// several hosts is left out, so that hosts that are sick on their own do not speak for it; to clear it none is.
+func tally(all []sample, convict bool, of, isBad func(sample) bool) (bad, n float64, hosts int) {
 	type sum struct {
 		host   *Host
 		bad, n float64
@@ -733,8 +724,10 @@
 		}
 	}
 	slices.SortStableFunc(sums, func(a, b sum) int { return int(a.bad - b.bad) })
-	left := max(0, min(len(sums)-1, (len(sums)+3)/4))
-	for _, x := range sums[:len(sums)-left] {
+	if convict {
+		sums = sums[:max(min(1, len(sums)), len(sums)-(len(sums)+3)/4)]
+	}
+	for _, x := range sums {
 		if bad, n = bad+x.bad, n+x.n; x.bad > 0 {
 			hosts++
 		}
@@ -748,25 +741,26 @@
 // drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow again
 // or more against no slower, host by host, since hosts differ among themselves however many sends they answer.
 // What a host reports of its service time goes before what its answers took, which shows its queue too.
+// apart is the variance between two sets of hosts, at two times, whose builds are equally good.
 func drag(now, before []sample, of func(sample) bool, apart float64) float64 {
-	const differ, scatter = 0.2, 0.5 // variance is the square of the one, and the other by number of sends
+	const differ, scatter = 0.2, 0.8 // variance is the square of the one, and the other by number of sends
 	const more = 0.6                 // log of 1.8: a fleet that is half full feels that
 	paces := func(all []sample) (middle, variance float64, n int) {
-		hosts := map[*Host][3]float64{}
+		hosts := map[*Host][2]float64{}
 		var order []*Host
 		for _, s := range all {
-			if of(s) && s.pace > 0 {
+			if of(s) {
 				if _, ok := hosts[s.host]; !ok {
 					order = append(order, s.host)
 				}
 				x := hosts[s.host]
-				hosts[s.host] = [3]float64{x[0] + s.pace, x[1] + s.usual, x[2] + 1}
+				hosts[s.host] = [2]float64{x[0] + s.pace, x[1] + 1}
 			}
 		}
 		var logs []float64
 		for _, h := range order {
-			if x := hosts[h]; x[2] >= 3 {
-				logs, variance = append(logs, math.Log(x[0]/x[1])), variance+differ*differ+scatter/x[2]
+			if x := hosts[h]; x[1] >= 3 {
+				logs, variance = append(logs, math.Log(x[0]/x[1])), variance+differ*differ+scatter/x[1]
 			}
 		}
 		if n = len(logs); n == 0 {
@@ -802,8 +796,9 @@
 }
 
 // weight is the evidence that the newest build is bad, in odds; 1 is none. Copies are judged against the
-// sends at the build before it: failures over all and by category, slowness, complaints, the desk's counts.
-func (r *Router) weight() (mean float64, parts []float64) {
+// sends at the build before it: failures over all and by category, the desk's counts, slowness, complaints.
+// The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
+func (r *Router) weight() (mean float64, doubts []float64) {
 	const floor = 0.01 // least usual failure share; a stray error in the first copies is no proof
 	now, before := r.book(r.news.Build), (*book)(nil)
 	for _, b := range r.books {
@@ -816,42 +811,42 @@
 	}
 	// A cold host is slow and times out, whatever its build: only its errors count.
 	warm := func(s sample) bool { return s.age > r.limits.Cold }
-	judged := func(s sample) bool { return warm(s) || s.fate != NoAnswer }
 	failed := func(s sample) bool { return s.fate != Finished }
 	sum, shares := 0.0, 0.0
-	add := func(share, o float64) { sum, shares, parts = sum+share*o, shares+share, append(parts, o) }
-
-	test := func(share float64, c *Category, gaps ...float64) float64 {
-		is := func(s sample) bool { return (c == nil || s.cat == c) && judged(s) }
-		bad, n, hosts := tally(now.samples, is, failed)
-		was, of, _ := tally(before.samples, is, failed)
-		o := spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...), hosts)
-		add(share, o)
-		return o
+	add := func(share, guilt, doubt float64) {
+		sum, shares, doubts = sum+share*guilt, shares+share, append(doubts, doubt)
 	}
-	small, large, whole := 0.06, 0.15, 0.25
+	test := func(share float64, c *Category, gaps ...float64) (doubt float64) {
+		is := func(s sample) bool { return (c == nil || s.cat == c) && (warm(s) || s.fate != NoAnswer) }
+		weigh := func(convict bool) float64 {
+			bad, n, hosts := tally(now.samples, convict, is, failed)
+			was, of, _ := tally(before.samples, convict, is, failed)
+			return spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...), hosts)
+		}
+		doubt = weigh(false)
+		add(share, weigh(true), doubt)
+		return doubt
+	}
+	small, large, whole, apart := 0.06, 0.15, 0.25, 0.04
 	if r.news.Phase == Released { // the earlier machines are gone: a small harm is cheaper than going back
-		small, large, whole = 0.3, 0.5, 0.5
+		small, large, whole, apart = 0.3, 0.5, 0.5, 0.16 // and a jam after the release is not the build's
 	}
 	test(1, nil, small, large, 0.6)
 	for _, c := range r.cats {
 		c.odds = test(1/float64(len(r.cats)), c, whole, 0.7)
-	}
-	for _, c := range r.cats {
 		if r.desk.Counted > 0 && c.Repeat != Retriable {
-			add(1/float64(len(r.cats)), r.tallied(c, now.build, before.build))
+			o := r.tallied(c, now.build, before.build)
+			add(1/float64(len(r.cats)), o, o)
 		}
 	}
-	apart := 0.04 // variance between two sets of hosts whose builds are equally good
-	if r.news.Phase == Released {
-		apart = 0.16 // and between two times: a jam after the release is not the build's
-	}
-	add(1, drag(now.samples, before.samples, warm, apart))
+	o := drag(now.samples, before.samples, warm, apart)
+	add(1, o, o)
 	if r.desk.Complaints > 0 {
-		add(1, odds(float64(len(now.wrong)), float64(len(now.samples)),
-			max(0.003, float64(len(before.wrong))/float64(len(before.samples)+1)), 0.01, 0.04))
+		usual := max(0.003, float64(len(before.wrong))/float64(len(before.samples)+1))
+		o := odds(float64(len(now.wrong)), float64(len(now.samples)), usual, 0.01, 0.04)
+		add(1, o, o)
 	}
-	return sum / shares, parts
+	return sum / shares, doubts
 }
 
 // ---- Votes ----
@@ -910,11 +905,11 @@
 func (r *Router) verdict() Voice {
 	const alarm, lateAlarm = 8.0, 30.0 // one good build in so many, at the most, is sent back by chance
 	const doubt, sure = 4.0, 0.3       // on in a stage unless in doubt; release when fairly sure
-	const softer, bear = 0.02, 0.2     // a second of waiting costs so much of that, and of the worst test
+	const softer, bear = 0.02, 0.5     // a second of waiting costs so much of that, and of the worst test
 	if !r.heard || r.news.Build == 0 || r.news.Phase == GoingBack || r.news.Phase == Withdrawn {
 		return NoVote
 	}
-	w, parts := r.weight()
+	w, doubts := r.weight()
 	limit, worst := doubt, math.Inf(1)
 	if r.news.Stage+1 >= len(r.desk.Caps) {
 		waited := float64(max(0, r.now-r.staged-r.desk.LeastTime)) / float64(Second)
@@ -927,7 +922,7 @@
 		return NoVote
 	case r.desk.Control == Clock && w > doubt:
 		return Hold
-	case r.desk.Control != Clock && w < limit && len(parts) > 0 && slices.Max(parts) <= worst:
+	case r.desk.Control != Clock && w < limit && len(doubts) > 0 && slices.Max(doubts) <= worst:
 		return On
 	}
 	return NoVote
--- a/logic/types.go
+++ b/logic/types.go
@@ -277,7 +277,7 @@
 	fate          Fate
 	role          role
 	held, strain  float64
-	pace, usual   float64 // service time where it was reported, else what it took; and what is usual
+	pace          float64 // strain, less what the host's other tasks added
 }
 
 // book keeps the last samples of one build.
@@ -328,8 +328,7 @@
 	books    []*book
 	counts   []Count
 	ballot   ballot
-	timed    bool // reports tell service times
-	lost     int  // list calls that failed in a row
+	lost     int // list calls that failed in a row
 }
 
 type (
