--- a/logic/logic.go
+++ b/logic/logic.go
@@ -4,11 +4,11 @@
 package logic
 
 import (
-	"encoding/binary"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
+
+	"gonum.org/v1/gonum/stat"
 )
 
 // NewRouter starts a router that knows nothing but its place.
@@ -21,33 +21,6 @@
 	return r
 }
 
-// chance draws evenly from 0 up to n.
-func (r *Router) chance(n int) int {
-	r.drawn++
-	h := fnv.New64a()
-	h.Write(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, r.seed), r.drawn))
-	x := h.Sum64()
-	return int((x ^ x>>32) % uint64(n))
-}
-
-// keep appends and forgets all but the last n or more.
-func keep[T any](all []T, x T, n int) []T {
-	if len(all) >= 2*n {
-		all = slices.Clone(all[len(all)-n:])
-	}
-	return append(all, x)
-}
-
-// since counts the moments after from; a category narrows the count.
-func since(all []moment, from Time, c *Category) (n float64) {
-	for i := len(all) - 1; i >= 0 && all[i].at > from; i-- {
-		if c == nil || all[i].cat == c {
-			n++
-		}
-	}
-	return n
-}
-
 // Due rings an alarm: of a send that takes long, of the list, or of the regular look at the build on trial.
 func (r *Router) Due(now Time, a *Alarm) {
 	r.now = now
@@ -85,16 +58,7 @@
 	}
 	r.lost = 0
 	for _, l := range changes {
-		h := l.Host
-		if !h.listed {
-			h.listed = true
-			at, _ := slices.BinarySearchFunc(r.hosts, h, func(a, b *Host) int { return int(a.ID) - int(b.ID) })
-			r.hosts = slices.Insert(r.hosts, at, h)
-		}
-		if h.Up != l.Up || h.Build != l.Build { // another process: what the last one did says nothing of it
-			h.past, h.health, h.load = nil, fit, nil
-		}
-		h.Location, h.Cell, h.Standing, h.Build, h.Size, h.Up = l.Location, l.Cell, l.Standing, l.Build, l.Size, l.Up
+		r.enter(l)
 	}
 }
 
@@ -173,28 +137,28 @@
 // of the next, and to its chance to miss the promised time. The first is near 1 where hosts work on one task at
 // a time and small where they have cores to spare.
 func (r *Router) crowding() {
-	var n, x, y, z, xx, xy, xz float64
+	if len(r.recent) < 40 { // too few for a line
+		return
+	}
+	var held, strains, misses []float64
 	for _, s := range r.recent {
-		v, miss := min(s.strain, 6), 0.0 // one very long task says little
-		if s.took > s.cat.Promised {
-			miss = 1
-		}
-		n, x, y, z, xx, xy, xz = n+1, x+s.held, y+v, z+miss, xx+s.held*s.held, xy+s.held*v, xz+s.held*miss
+		held, strains = append(held, s.held), append(strains, min(s.strain, 6)) // one very long task says little
+		misses = append(misses, min(1, max(0, float64(s.took-s.cat.Promised))))
 	}
-	if d := n*xx - x*x; n >= 40 && d > 0 {
-		b := (n*xy - x*y) / d
-		r.crowd = min(1.5, max(0.02, b/max(0.1, (y-b*x)/n)))
-		r.peril = min(0.2, max(0.005, (n*xz-x*z)/d)) // never nothing: what has not jammed yet still may
+	if _, spread := stat.MeanStdDev(held, nil); spread > 0 {
+		base, more := stat.LinearRegression(held, strains, nil, false)
+		_, peril := stat.LinearRegression(held, misses, nil, false)
+		r.crowd = min(1.5, max(0.02, more/max(0.1, base)))
+		r.peril = min(0.2, max(0.005, peril)) // never nothing: what has not jammed yet still may
 	}
 }
 
-// bound is the time that one in n of the category's finished sends takes longer than.
-func (c *Category) bound(n int) Time {
-	if len(c.took) < 2*n {
+// slowest is the time that one in twenty of the category's finished sends takes longer than.
+func (c *Category) slowest() Time {
+	if len(c.took) < 40 {
 		return c.Promised / 2
 	}
-	sorted := slices.Sorted(slices.Values(c.took))
-	return sorted[len(sorted)-1-len(sorted)/n]
+	return above(c.took, 0.05)
 }
 
 // held is how many tasks a host seems to have in hand: what it reported, with what was sent since, or else
@@ -323,14 +287,8 @@
 	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || !r.room(r.news.Build, t.Category) {
 		return nil
 	}
-	peers, hosts := 0.0, 0.0
-	for _, h := range r.hosts {
-		if r.old(h) {
-			peers++
-		} else if h.Build == r.news.Build && h.Standing == Serving {
-			hosts++
-		}
-	}
+	peers := r.count(r.old)
+	hosts := r.count(func(h *Host) bool { return h.Build == r.news.Build && h.Standing == Serving })
 	fair := part * since(r.flow, r.now-lately, nil) / max(1, peers) * hosts
 	if since(r.tried, r.now-lately, nil)+1 > max(1, fair) ||
 		t.Category.Repeat != Retriable && (t.Category.odds < cleared || t.Category.odds > guilty) {
@@ -342,12 +300,7 @@
 // ---- Tasks ----
 
 // tasks says what follows for a task. One that can go nowhere is settled at once.
-var tasks = []struct {
-	state taskState
-	input taskInput
-	next  taskState
-	do    func(*Router, *Task)
-}{
+var tasks = []taskRow{
 	{clean, arrives, clean, (*Router).place},
 	{clean, neverRan, clean, (*Router).again},
 	{clean, mayHaveRun, risky, (*Router).again},
@@ -456,7 +409,7 @@
 		r.tried = keep(r.tried, moment{r.now, t.Category}, 8192)
 	}
 	within := t.at + t.Patience - r.now
-	lingersAt := max(t.Category.bound(20)*3/2, t.Category.typical()*2) // beyond 19 in 20, with some slack
+	lingersAt := max(t.Category.slowest()*3/2, t.Category.typical()*2) // beyond 19 in 20, with some slack
 	switch {
 	case !t.Category.mayRepeat():
 	case r.limits.TwoAtOnce && how != copied:
@@ -569,12 +522,7 @@
 // ---- Health ----
 
 // healths says how a host's health moves; a sick host only gets the trickle of probation.
-var healths = []struct {
-	state health
-	input healthInput
-	next  health
-	rest  Time
-}{
+var healths = []healthRow{
 	{fit, fails, sick, 0},
 	{fit, refuses, shunned, Second / 5}, // full or unreachable: others first for a moment
 	{shunned, refuses, shunned, Second},
@@ -598,8 +546,7 @@
 	if s.fate == Finished && r.old(h) {
 		c.took = keep(c.took, took, 64)
 		c.work = keep(c.work, float64(took)/(1+r.crowd*s.held), 64)
-		sorted := slices.Sorted(slices.Values(c.work)) // the middle and a third, for the tail: slow hosts weigh little
-		c.mid = max(1, Time(sorted[len(sorted)/2]*4/3))
+		c.mid = max(1, Time(above(c.work, 0.5)*4/3)) // the middle and a third, for the tail: slow hosts weigh little
 		r.recent = keep(r.recent, x, 200)
 	}
 	h.past = append(h.past, x)
@@ -644,7 +591,6 @@
 		n := float64(max(len(h.past), 6))
 		return share / n, strain / n
 	}
-	share, strain := ails(h)
 	var shares, strains []float64
 	for _, p := range r.hosts {
 		if p != h && p.Build == h.Build && p.Standing == Serving && len(p.past) > 2 {
@@ -655,32 +601,16 @@
 	if len(shares) < 2 {
 		return false
 	}
-	slices.Sort(shares)
-	slices.Sort(strains)
-	mid := len(shares) / 2
-	return share > gap+2*shares[mid] || strain > drag*max(1, strains[mid])
+	share, strain := ails(h)
+	return share > gap+2*above(shares, 0.5) || strain > drag*max(1, above(strains, 0.5))
 }
 
 // ---- Evidence ----
 
-func (r *Router) book(build int) *book {
-	for _, b := range r.books {
-		if b.build == build {
-			return b
-		}
-	}
-	r.books = keep(r.books, &book{build: build}, 4)
-	return r.books[len(r.books)-1]
-}
-
 // Counted takes in what the desk counted.
 func (r *Router) Counted(now Time, c Count) {
 	r.now = now
-	for _, h := range r.hosts {
-		if h.Build == c.Build && len(h.past) > 0 {
-			c.hosts++
-		}
-	}
+	c.hosts = int(r.count(func(h *Host) bool { return h.Build == c.Build && len(h.past) > 0 }))
 	r.counts = keep(r.counts, c, 100)
 }
 
@@ -703,27 +633,9 @@
 	return mean
 }
 
-// tally counts the samples that a test calls bad, and the hosts with any. To convict a build the worst quarter of
-// several hosts is left out, so that hosts that are sick on their own do not speak for it; to clear it none is.
-func tally(all []sample, convict bool, of, isBad func(sample) bool) (bad, n float64, hosts int) {
-	type sum struct {
-		host   *Host
-		bad, n float64
-	}
-	var sums []sum
-	for _, s := range all {
-		if !of(s) {
-			continue
-		}
-		i := slices.IndexFunc(sums, func(x sum) bool { return x.host == s.host })
-		if i < 0 {
-			i, sums = len(sums), append(sums, sum{host: s.host})
-		}
-		if sums[i].n++; isBad(s) {
-			sums[i].bad++
-		}
-	}
-	slices.SortStableFunc(sums, func(a, b sum) int { return int(a.bad - b.bad) })
+// tally adds up sends, failed ones, and hosts with any. To convict a build the worst quarter of several hosts is
+// left out, so that hosts that are sick on their own do not speak for it; to clear it none is.
+func tally(sums []word, convict bool) (bad, n float64, hosts int) {
 	if convict {
 		sums = sums[:max(min(1, len(sums)), len(sums)-(len(sums)+3)/4)]
 	}
@@ -741,40 +653,26 @@
 // drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow again
 // or more against no slower, host by host, since hosts differ among themselves however many sends they answer.
 // What a host reports of its service time goes before what its answers took, which shows its queue too.
-// apart is the variance between two sets of hosts, at two times, whose builds are equally good.
-func drag(now, before []sample, of func(sample) bool, apart float64) float64 {
+// apart is the variance between two sets of hosts, at two times, whose builds are equally good; share is how
+// many of the hosts must be at least that slow.
+func drag(now, before []word, apart, share float64) float64 {
 	const differ, scatter = 0.2, 0.8 // variance is the square of the one, and the other by number of sends
 	const more = 0.6                 // log of 1.8: a fleet that is half full feels that
-	paces := func(all []sample) (middle, variance float64, n int) {
-		hosts := map[*Host][2]float64{}
-		var order []*Host
-		for _, s := range all {
-			if of(s) {
-				if _, ok := hosts[s.host]; !ok {
-					order = append(order, s.host)
-				}
-				x := hosts[s.host]
-				hosts[s.host] = [2]float64{x[0] + s.pace, x[1] + 1}
-			}
-		}
-		var logs []float64
-		for _, h := range order {
-			if x := hosts[h]; x[1] >= 3 {
-				logs, variance = append(logs, math.Log(x[0]/x[1])), variance+differ*differ+scatter/x[1]
+	paces := func(hosts []word) (logs []float64, variance float64) {
+		for _, x := range hosts {
+			if x.n >= 3 {
+				logs, variance = append(logs, math.Log(x.pace/x.n)), variance+differ*differ+scatter/x.n
 			}
 		}
-		if n = len(logs); n == 0 {
-			return 0, 1, 0
-		}
-		slices.Sort(logs)
-		return (logs[(n-1)/2] + logs[n/2]) / 2, variance / float64(n*n), n
+		return logs, variance / max(1, float64(len(logs)*len(logs)))
 	}
-	fresh, a, n := paces(now)
-	usual, b, of0 := paces(before)
-	if n == 0 || of0 == 0 {
+	fresh, a := paces(now)
+	usual, b := paces(before)
+	if len(fresh) == 0 || len(usual) == 0 {
 		return 1
 	}
-	return spoken(math.Exp(max(-6, min(6, ((fresh-usual)*more-more*more/2)/(a+b+apart)))), n)
+	gap := above(fresh, share) - above(usual, 0.5)
+	return spoken(math.Exp(max(-6, min(6, (gap*more-more*more/2)/(a+b+apart)))), len(fresh))
 }
 
 // tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build apart,
@@ -811,16 +709,16 @@
 	}
 	// A cold host is slow and times out, whatever its build: only its errors count.
 	warm := func(s sample) bool { return s.age > r.limits.Cold }
-	failed := func(s sample) bool { return s.fate != Finished }
 	sum, shares := 0.0, 0.0
 	add := func(share, guilt, doubt float64) {
 		sum, shares, doubts = sum+share*guilt, shares+share, append(doubts, doubt)
 	}
 	test := func(share float64, c *Category, gaps ...float64) (doubt float64) {
 		is := func(s sample) bool { return (c == nil || s.cat == c) && (warm(s) || s.fate != NoAnswer) }
+		fresh, usual := words(now.samples, is), words(before.samples, is)
 		weigh := func(convict bool) float64 {
-			bad, n, hosts := tally(now.samples, convict, is, failed)
-			was, of, _ := tally(before.samples, convict, is, failed)
+			bad, n, hosts := tally(fresh, convict)
+			was, of, _ := tally(usual, convict)
 			return spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...), hosts)
 		}
 		doubt = weigh(false)
@@ -839,8 +737,8 @@
 			add(1/float64(len(r.cats)), o, o)
 		}
 	}
-	o := drag(now.samples, before.samples, warm, apart)
-	add(1, o, o)
+	fresh, usual := words(now.samples, warm), words(before.samples, warm)
+	add(1, drag(fresh, usual, apart, 0.75), drag(fresh, usual, apart, 0.5)) // most of them to convict, half to doubt
 	if r.desk.Complaints > 0 {
 		usual := max(0.003, float64(len(before.wrong))/float64(len(before.samples)+1))
 		o := odds(float64(len(now.wrong)), float64(len(now.samples)), usual, 0.01, 0.04)
@@ -853,12 +751,7 @@
 
 const judgeEvery = Second / 5 // a fraction of the shortest stage
 
-var ballots = []struct {
-	state ballotState
-	input ballotInput
-	next  ballotState
-	cast  bool
-}{
+var ballots = []ballotRow{
 	{quiet, wants, asked, true},
 	{stands, wants, asked, true},
 	{asked, silent, quiet, false},
--- a/logic/types.go
+++ b/logic/types.go
@@ -387,3 +387,31 @@
 	counts
 	drops // refused, moot or unclear
 )
+
+// Rows of the tables by which decisions are read: state, input, next state, effect.
+type (
+	taskRow struct {
+		state taskState
+		input taskInput
+		next  taskState
+		do    func(*Router, *Task)
+	}
+	healthRow struct {
+		state health
+		input healthInput
+		next  health
+		rest  Time
+	}
+	ballotRow struct {
+		state ballotState
+		input ballotInput
+		next  ballotState
+		cast  bool
+	}
+)
+
+// word is what one host's samples say of its build.
+type word struct {
+	host         *Host
+	n, bad, pace float64
+}
