--- a/logic/logic.go
+++ b/logic/logic.go
@@ -103,21 +103,15 @@
 }
 
 // mayWarm keeps a cold host from being pushed over, by this router's share alone: it gets no more than a
-// part of what the rule lets a host of its present strength have, in units of what hosts get now on average.
+// part of what the rule lets a host of its present strength have, in units of what hosts get now on average;
+// those that left meanwhile count, or a lone newcomer would be due all their work.
 func (r *Router) mayWarm(h *Host) bool {
 	const part = 0.6            // of the budget; the rest is for uneven routers, heavy tasks and bursts
 	const flowOver = 4 * Second // long enough to even out bursts
 	if h.Up == 0 || r.now-h.Up >= r.limits.Cold {
 		return true
 	}
-	peers, of := 1, map[int]int{}
-	for _, p := range r.hosts { // by build, also those that left meanwhile: a lone newcomer is not due all their work
-		if since(p.sent, r.now-flowOver, nil) > 0 {
-			of[p.Build]++
-			peers = max(peers, of[p.Build])
-		}
-	}
-	rate := since(r.flow, r.now-flowOver, nil) / float64(flowOver) / float64(peers)
+	rate := since(r.flow, r.now-flowOver, nil) / float64(flowOver) / max(1, r.largest(flowOver))
 	strength := r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, r.now-h.Up))/float64(r.limits.Cold)
 	budget := part * r.limits.Tip * strength * float64(r.limits.TipFor) * rate
 	return since(h.sent, r.now-r.limits.TipFor, nil)+1 <= max(1, budget)
@@ -201,16 +195,7 @@
 // pick draws two hosts at random among those nearby and two among the rest, and takes the less busy one; the
 // far one only if the promised time is so much likelier to be kept there that it is worth the price.
 func (r *Router) pick(t *Task, fits func(*Host) bool) (best *Host) {
-	var near, far []*Host
-	for _, h := range r.hosts {
-		switch {
-		case h.Standing != Serving || !fits(h) || !r.mayGo(t, h):
-		case h.Location == r.location:
-			near = append(near, h)
-		default:
-			far = append(far, h)
-		}
-	}
+	near, far := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
 	busy := func(h *Host) float64 { return r.pace(h) * (1 + r.held(h)) }
 	draw := func(from []*Host) (best *Host) {
 		for range min(2, len(from)) {
@@ -360,17 +345,9 @@
 // the rate at which work is answered. As what is out drains it falls, and a fleet is never left idle.
 func (r *Router) jamming() {
 	const over = 2 * Second
-	done, out, hosts := 1.0, 0.0, 0.0
-	for n := len(r.done) - 1; n >= 0 && r.done[n].at > r.now-over; n-- {
-		done += float64(r.done[n].cat.typical())
-	}
-	for _, h := range r.hosts {
-		if h.health == fit && r.old(h) {
-			out, hosts = out+float64(len(h.open)), hosts+1
-		}
-	}
+	done, out, hosts := r.working(over)
 	if r.jam = 0; out*float64(r.routers) > hosts {
-		r.jam = out * float64(min(over, r.now-r.born)) / done
+		r.jam = out * float64(min(over, r.now-r.born)) / max(1, done)
 	}
 }
 
@@ -399,15 +376,7 @@
 }
 
 func (r *Router) send(t *Task, h *Host, how role) {
-	s := &Send{Task: t, Host: h, at: r.now, build: h.Build, up: h.Up, held: r.held(h), role: how}
-	t.Sends = append(t.Sends, s)
-	h.open = append(h.open, s)
-	h.sent = keep(h.sent, moment{r.now, t.Category}, 256)
-	if r.old(h) {
-		r.flow = keep(r.flow, moment{r.now, t.Category}, 8192)
-	} else {
-		r.tried = keep(r.tried, moment{r.now, t.Category}, 8192)
-	}
+	s := r.enlist(t, h, how)
 	within := t.at + t.Patience - r.now
 	lingersAt := max(t.Category.slowest()*3/2, t.Category.typical()*2) // beyond 19 in 20, with some slack
 	switch {
@@ -494,17 +463,11 @@
 
 // Ended says how a send ended, how long it took, whether its task is over, and what the host reported.
 func (r *Router) Ended(now Time, s *Send, fate Fate, took Time, done bool, load *Load) {
-	r.now, s.fate = now, fate
-	h, t := s.Host, s.Task
-	h.open = slices.DeleteFunc(h.open, func(x *Send) bool { return x == s })
-	if load != nil {
-		h.load, h.loadAt = load, now
-	}
+	t := s.Task
+	r.now = now
+	r.close(s, fate, load)
 	r.learn(s, took)
 	in := mayHaveRun
-	if fate == Finished {
-		r.done = keep(r.done, moment{now, t.Category}, 4096)
-	}
 	switch {
 	case done || fate == Finished:
 		in = ends
@@ -537,12 +500,7 @@
 	if s.fate == NeverSent || s.fate == CalledOff || s.up != h.Up || s.build != h.Build {
 		return
 	}
-	x := sample{at: r.now, took: took, age: s.at - s.up, host: h, cat: c, fate: s.fate, role: s.role, held: s.held,
-		strain: float64(took) / float64(c.typical())}
-	x.pace = x.strain / (1 + r.crowd*s.held)
-	if s.up == 0 {
-		x.age = math.MaxInt32
-	}
+	x := r.sampled(s, took)
 	if s.fate == Finished && r.old(h) {
 		c.took = keep(c.took, took, 64)
 		c.work = keep(c.work, float64(took)/(1+r.crowd*s.held), 64)
@@ -580,28 +538,12 @@
 // failing compares a host's last sends with its peers of the same build: it must fail or drag far more than
 // they do, so that neither a bad build nor a slow fleet empties the list.
 func (r *Router) failing(h *Host) bool {
-	const gap, drag = 0.35, 3.0 // about three of the last eight; three times as slow as its peers
-	ails := func(h *Host) (share, strain float64) {
-		for _, p := range h.past {
-			if p.fate != Finished {
-				share++
-			}
-			strain += p.strain
-		}
-		n := float64(max(len(h.past), 6))
-		return share / n, strain / n
-	}
-	var shares, strains []float64
-	for _, p := range r.hosts {
-		if p != h && p.Build == h.Build && p.Standing == Serving && len(p.past) > 2 {
-			s, d := ails(p)
-			shares, strains = append(shares, s), append(strains, d)
-		}
-	}
+	const gap, drag, least = 0.35, 3.0, 6 // about three of the last eight; three times as slow as its peers
+	shares, strains := r.peersAil(h, least)
 	if len(shares) < 2 {
 		return false
 	}
-	share, strain := ails(h)
+	share, strain := h.ails(least)
 	return share > gap+2*above(shares, 0.5) || strain > drag*max(1, above(strains, 0.5))
 }
 
@@ -622,52 +564,18 @@
 	}
 }
 
-// odds weighs bad against n tries as signs that a build fails more than the usual share: the mean likelihood
-// ratio over a few sizes of the gap. Were the build good it would pass x with a chance of at most 1/x, however
-// often it is looked at, and a mean of such odds keeps that bound; so many looks and tests raise no alarm.
-func odds(bad, n, usual float64, gaps ...float64) (mean float64) {
-	for _, g := range gaps {
-		p := usual + g*(1-usual)
-		mean += math.Exp(min(50, bad*math.Log(p/usual)+(n-bad)*math.Log((1-p)/(1-usual)))) / float64(len(gaps))
-	}
-	return mean
-}
-
-// tally adds up sends, failed ones, and hosts with any. To convict a build the worst quarter of several hosts is
-// left out, so that hosts that are sick on their own do not speak for it; to clear it none is.
-func tally(sums []word, convict bool) (bad, n float64, hosts int) {
-	if convict {
-		sums = sums[:max(min(1, len(sums)), len(sums)-(len(sums)+3)/4)]
-	}
-	for _, x := range sums {
-		if bad, n = bad+x.bad, n+x.n; x.bad > 0 {
-			hosts++
-		}
-	}
-	return bad, n, hosts
-}
-
 // spoken bounds the odds by the number of hosts that speak for them: each may at most quadruple them.
 func spoken(o float64, hosts int) float64 { return min(o, math.Pow(4, float64(max(1, hosts)))) }
 
 // drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow again
 // or more against no slower, host by host, since hosts differ among themselves however many sends they answer.
-// What a host reports of its service time goes before what its answers took, which shows its queue too.
 // apart is the variance between two sets of hosts, at two times, whose builds are equally good; share is how
 // many of the hosts must be at least that slow.
 func drag(now, before []word, apart, share float64) float64 {
 	const differ, scatter = 0.2, 0.8 // variance is the square of the one, and the other by number of sends
 	const more = 0.6                 // log of 1.8: a fleet that is half full feels that
-	paces := func(hosts []word) (logs []float64, variance float64) {
-		for _, x := range hosts {
-			if x.n >= 3 {
-				logs, variance = append(logs, math.Log(x.pace/x.n)), variance+differ*differ+scatter/x.n
-			}
-		}
-		return logs, variance / max(1, float64(len(logs)*len(logs)))
-	}
-	fresh, a := paces(now)
-	usual, b := paces(before)
+	fresh, a := paces(now, 3, differ, scatter)
+	usual, b := paces(before, 3, differ, scatter)
 	if len(fresh) == 0 || len(usual) == 0 {
 		return 1
 	}
@@ -679,17 +587,8 @@
 // so only what it counted at several counts, and only failures far beyond what one sick host brings.
 func (r *Router) tallied(c *Category, now, before int) float64 {
 	const floor, few = 0.1, 4
-	var bad, n, was, of float64
-	hosts := 0
-	for _, x := range r.counts {
-		switch {
-		case x.Category != c || x.hosts < few:
-		case x.Build == now:
-			bad, n, hosts = bad+float64(x.Bad), n+float64(x.Samples), x.hosts
-		case x.Build == before:
-			was, of = was+float64(x.Bad), of+float64(x.Samples)
-		}
-	}
+	bad, n, hosts := r.counted(c, now, few)
+	was, of, _ := r.counted(c, before, few)
 	return spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), 0.25, 0.6), hosts)
 }
 
@@ -698,12 +597,8 @@
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
 	const floor = 0.01 // least usual failure share; a stray error in the first copies is no proof
-	now, before := r.book(r.news.Build), (*book)(nil)
-	for _, b := range r.books {
-		if b.build < r.news.Build && len(b.samples) > 20 && (before == nil || b.build > before.build) {
-			before = b
-		}
-	}
+	const worst = 0.25 // of the hosts are left out to convict, so that sick ones do not speak for a build
+	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
 		return 1, nil
 	}
@@ -716,13 +611,13 @@
 	test := func(share float64, c *Category, gaps ...float64) (doubt float64) {
 		is := func(s sample) bool { return (c == nil || s.cat == c) && (warm(s) || s.fate != NoAnswer) }
 		fresh, usual := words(now.samples, is), words(before.samples, is)
-		weigh := func(convict bool) float64 {
-			bad, n, hosts := tally(fresh, convict)
-			was, of, _ := tally(usual, convict)
+		weigh := func(but float64) float64 {
+			bad, n, hosts := tally(fresh, but)
+			was, of, _ := tally(usual, but)
 			return spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...), hosts)
 		}
-		doubt = weigh(false)
-		add(share, weigh(true), doubt)
+		doubt = weigh(0)
+		add(share, weigh(worst), doubt)
 		return doubt
 	}
 	small, large, whole, apart := 0.06, 0.15, 0.25, 0.04
@@ -740,8 +635,8 @@
 	fresh, usual := words(now.samples, warm), words(before.samples, warm)
 	add(1, drag(fresh, usual, apart, 0.75), drag(fresh, usual, apart, 0.5)) // most of them to convict, half to doubt
 	if r.desk.Complaints > 0 {
-		usual := max(0.003, float64(len(before.wrong))/float64(len(before.samples)+1))
-		o := odds(float64(len(now.wrong)), float64(len(now.samples)), usual, 0.01, 0.04)
+		usual := max(0.003, before.complaints()/float64(len(before.samples)+1)) // now and then a client errs
+		o := odds(now.complaints(), float64(len(now.samples)), usual, 0.01, 0.04)
 		add(1, o, o)
 	}
 	return sum / shares, doubts
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"encoding/binary"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -94,3 +95,163 @@
 	}
 	return n
 }
+
+// enlist notes a new send.
+func (r *Router) enlist(t *Task, h *Host, how role) *Send {
+	s := &Send{Task: t, Host: h, at: r.now, build: h.Build, up: h.Up, held: r.held(h), role: how}
+	t.Sends, h.open = append(t.Sends, s), append(h.open, s)
+	h.sent = keep(h.sent, moment{r.now, t.Category}, 256)
+	if r.old(h) {
+		r.flow = keep(r.flow, moment{r.now, t.Category}, 8192)
+	} else {
+		r.tried = keep(r.tried, moment{r.now, t.Category}, 8192)
+	}
+	return s
+}
+
+// close notes the end of a send.
+func (r *Router) close(s *Send, fate Fate, load *Load) {
+	s.fate = fate
+	s.Host.open = slices.DeleteFunc(s.Host.open, func(x *Send) bool { return x == s })
+	if load != nil {
+		s.Host.load, s.Host.loadAt = load, r.now
+	}
+	if fate == Finished {
+		r.done = keep(r.done, moment{r.now, s.Task.Category}, 4096)
+	}
+}
+
+// sampled is what an ended send showed.
+func (r *Router) sampled(s *Send, took Time) sample {
+	x := sample{at: r.now, took: took, age: s.at - s.up, host: s.Host, cat: s.Task.Category, fate: s.fate,
+		held: s.held, strain: float64(took) / float64(s.Task.Category.typical())}
+	x.pace = x.strain / (1 + r.crowd*s.held)
+	if s.up == 0 {
+		x.age = math.MaxInt32
+	}
+	return x
+}
+
+// ails is a host's share of failed sends and its mean strain, as if over least sends or more.
+func (h *Host) ails(least int) (share, strain float64) {
+	for _, p := range h.past {
+		if p.fate != Finished {
+			share++
+		}
+		strain += p.strain
+	}
+	n := float64(max(len(h.past), least))
+	return share / n, strain / n
+}
+
+// before is the latest earlier build that some sends are known of, if any.
+func (r *Router) before(build, sends int) (last *book) {
+	for _, b := range r.books {
+		if b.build < build && len(b.samples) > sends && (last == nil || b.build > last.build) {
+			last = b
+		}
+	}
+	return last
+}
+
+// counted adds up what the desk counted of a category at a build while so many hosts or more ran it.
+func (r *Router) counted(c *Category, build, few int) (bad, n float64, hosts int) {
+	for _, x := range r.counts {
+		if x.Category == c && x.Build == build && x.hosts >= few {
+			bad, n, hosts = bad+float64(x.Bad), n+float64(x.Samples), x.hosts
+		}
+	}
+	return bad, n, hosts
+}
+
+// working is the work that was answered in a span, in usual times, and the sends out at hosts that are well.
+func (r *Router) working(over Time) (done, out, hosts float64) {
+	for n := len(r.done) - 1; n >= 0 && r.done[n].at > r.now-over; n-- {
+		done += float64(r.done[n].cat.typical())
+	}
+	for _, h := range r.hosts {
+		if h.health == fit && r.old(h) {
+			out, hosts = out+float64(len(h.open)), hosts+1
+		}
+	}
+	return done, out, hosts
+}
+
+// odds weighs bad against n tries as signs that a build fails more than the usual share: the mean likelihood
+// ratio over a few sizes of the gap. Were the build good it would pass x with a chance of at most 1/x, however
+// often it is looked at, and a mean of such odds keeps that bound; so many looks and tests raise no alarm.
+func odds(bad, n, usual float64, gaps ...float64) (mean float64) {
+	for _, g := range gaps {
+		p := usual + g*(1-usual)
+		mean += math.Exp(min(50, bad*math.Log(p/usual)+(n-bad)*math.Log((1-p)/(1-usual)))) / float64(len(gaps))
+	}
+	return mean
+}
+
+// tally adds up sends, failed ones, and hosts with any, over all but a share of the hosts: those with most failures.
+func tally(sums []word, but float64) (bad, n float64, hosts int) {
+	for _, x := range sums[:max(min(1, len(sums)), len(sums)-int(math.Ceil(but*float64(len(sums)))))] {
+		if bad, n = bad+x.bad, n+x.n; x.bad > 0 {
+			hosts++
+		}
+	}
+	return bad, n, hosts
+}
+
+// paces are the logs of how slow hosts with so many sends are, and the variance of their mean when hosts differ by
+// so much among themselves and sends scatter by so much.
+func paces(hosts []word, least, differ, scatter float64) (logs []float64, variance float64) {
+	for _, x := range hosts {
+		if x.n >= least {
+			logs, variance = append(logs, math.Log(x.pace/x.n)), variance+differ*differ+scatter/x.n
+		}
+	}
+	return logs, variance / max(1, float64(len(logs)*len(logs)))
+}
+
+// peersAil is how the other hosts of a host's build do.
+func (r *Router) peersAil(h *Host, least int) (shares, strains []float64) {
+	for _, p := range r.hosts {
+		if p != h && p.Build == h.Build && p.Standing == Serving && len(p.past) > 2 {
+			s, d := p.ails(least)
+			shares, strains = append(shares, s), append(strains, d)
+		}
+	}
+	return shares, strains
+}
+
+// largest is how many hosts with a send in a span the build with most such hosts has.
+func (r *Router) largest(over Time) (most float64) {
+	of := map[int]float64{}
+	for _, h := range r.hosts {
+		if since(h.sent, r.now-over, nil) > 0 {
+			of[h.Build]++
+			most = max(most, of[h.Build])
+		}
+	}
+	return most
+}
+
+// parted are the hosts nearby and the rest, as far as they fit.
+func (r *Router) parted(fits func(*Host) bool) (near, far []*Host) {
+	for _, h := range r.hosts {
+		switch {
+		case h.Standing != Serving || !fits(h):
+		case h.Location == r.location:
+			near = append(near, h)
+		default:
+			far = append(far, h)
+		}
+	}
+	return near, far
+}
+
+// complaints are those about sends as late as the samples kept.
+func (b *book) complaints() (n float64) {
+	for _, x := range b.wrong {
+		if len(b.samples) > 0 && x.at >= b.samples[0].at {
+			n++
+		}
+	}
+	return n
+}
