--- a/logic/logic.go
+++ b/logic/logic.go
@@ -279,7 +279,9 @@
 		t.Category.Repeat != Retriable && (t.Category.odds < cleared || t.Category.odds > guilty) {
 		return nil
 	}
-	return r.pick(t, func(h *Host) bool { return h.Build == r.news.Build && h.health != sick })
+	return r.pick(t, func(h *Host) bool { // a sick one is judged too, but not at the cost of an effect
+		return h.Build == r.news.Build && (h.health != sick || t.Category.Repeat == Retriable)
+	})
 }
 
 // ---- Tasks ----
@@ -515,9 +517,13 @@
 	switch {
 	case s.fate == TurnedBack || s.fate == NoLink:
 		in = refuses
+	case h.health == sick: // two good answers in a row, whatever came before
+		if n := len(h.past); x.well() && n > 1 && h.past[n-2].well() {
+			in = works
+		}
 	case r.failing(h):
 		in = fails
-	case s.fate == Finished && x.strain < 3:
+	case x.well():
 		in = works
 	}
 	if in != refuses {
@@ -535,6 +541,9 @@
 	}
 }
 
+// well tells whether a send ended as one at a host that works.
+func (x sample) well() bool { return x.fate == Finished && x.strain < 3 }
+
 // failing compares a host's last sends with its peers of the same build: it must fail or drag far more than
 // they do, so that neither a bad build nor a slow fleet empties the list.
 func (r *Router) failing(h *Host) bool {
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,311 @@
+package logic
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEveryTaskGetsOneAnswerAndNothingAfterIt(t *testing.T) {
+	f, _ := begin(t, nil)
+	task := f.take(f.quote)
+	f.end(task.Sends[0], Finished, Second/20)
+	sends := len(f.sent)
+	f.pass(5 * Second)
+	require.True(t, task.Over())
+	require.Len(t, f.sent, sends)
+	require.Empty(t, f.turned)
+}
+
+func TestWhatCannotBeSentIsAnsweredAtOnce(t *testing.T) {
+	f, list := begin(t, nil)
+	for i := range list {
+		list[i].Standing = Gone
+	}
+	f.r.Listed(f.now, list, true)
+	task := f.take(f.payment)
+	require.Equal(t, []*Task{task}, f.turned)
+	require.Empty(t, f.sent)
+}
+
+func TestBindingTaskThatMayHaveRunIsNeitherSentAgainNorTurnedBack(t *testing.T) {
+	f, _ := begin(t, nil)
+	task := f.take(f.payment)
+	f.pass(2 * Second) // it lingers, and is not copied either
+	require.Len(t, task.Sends, 1)
+	f.end(task.Sends[0], Cut, 2*Second)
+	require.Equal(t, []*Task{task}, f.scrapped)
+	require.Len(t, task.Sends, 1)
+}
+
+func TestBindingTaskThatNeverRanIsSentAgain(t *testing.T) {
+	f, _ := begin(t, nil)
+	task := f.take(f.payment)
+	f.end(task.Sends[0], NoLink, Second/40)
+	require.Len(t, task.Sends, 2)
+	require.NotSame(t, task.Sends[0].Host, task.Sends[1].Host)
+}
+
+func TestFingerprintedTaskStaysInItsGroupAndMemory(t *testing.T) {
+	f, list := begin(t, nil)
+	f.order.Group = SameLocation
+	list[5].Location = f.there
+	f.r.Listed(f.now, list, true)
+	for range 20 {
+		task := f.take(f.order)
+		f.end(task.Sends[0], Errored, Second/40)
+		for _, s := range task.Sends[1:] {
+			require.Same(t, task.Sends[0].Host.Location, s.Host.Location)
+		}
+		f.pass(Second)
+		f.r.Left(f.now, task)
+	}
+	late := f.take(f.order)
+	late.Patience = 9 * Second
+	f.pass(4 * Second) // longer than the hosts remember
+	n := len(late.Sends)
+	f.end(late.Sends[0], Cut, 4*Second)
+	require.Len(t, late.Sends, n)
+}
+
+func TestNoSecondSendWhileTheFirstIsOutWhereForbidden(t *testing.T) {
+	f, _ := begin(t, func(p *Place) { p.Limits.TwoAtOnce = false })
+	f.trial(1, 0.5)
+	for range 40 {
+		task := f.take(f.quote)
+		require.LessOrEqual(t, len(task.Sends), 1)
+		if s := task.Sends[0]; s.build == 2 { // a lone copy, with the time left for its original
+			require.Less(t, f.within[s], task.Patience/2)
+			f.end(s, NoAnswer, f.within[s])
+			require.Len(t, task.Sends, 2)
+			require.Equal(t, 1, task.Sends[1].build)
+		}
+		f.pass(Second / 20)
+		f.end(task.Sends[len(task.Sends)-1], Finished, Second/20)
+	}
+	require.Positive(t, f.toBuild(2))
+}
+
+func TestNothingNewToADrainingHost(t *testing.T) {
+	f, list := begin(t, nil)
+	list[0].Standing, list[1].Standing = Draining, Gone
+	f.r.Listed(f.now, list, true)
+	f.serve(100, f.quote, fine)
+	for _, s := range f.sent {
+		require.Equal(t, Serving, s.Host.Standing)
+	}
+}
+
+func TestAListThatIsDownIsAskedAgainButNotFlooded(t *testing.T) {
+	f, _ := begin(t, nil)
+	for range 20 {
+		before := f.asks
+		f.r.Listed(f.now, nil, false)
+		f.pass(5 * Second)
+		require.Equal(t, before+1, f.asks)
+	}
+}
+
+func TestAColdHostGetsLittleEvenWhenItIsAlmostAlone(t *testing.T) {
+	f, list := begin(t, nil)
+	f.serve(100, f.quote, fine)
+	for i := range list[:6] {
+		list[i].Standing = Draining
+	}
+	fresh := f.host(20, 1)
+	fresh.Up = f.now
+	f.r.Listed(f.now, append(list, fresh), true)
+	n := 0
+	for range 100 { // a hundred a second, six times what one host had
+		if task := f.take(f.quote); len(task.Sends) > 0 && task.Sends[0].Host == fresh.Host {
+			n++
+		}
+		f.pass(Second / 100)
+	}
+	require.Positive(t, n)
+	require.Less(t, n, 10)
+}
+
+func TestSendsOnTrialKeepTheCapAndTheGuard(t *testing.T) {
+	f, _ := begin(t, nil)
+	f.trial(0, 0.1)
+	for range 300 {
+		f.serve(1, f.quote, fine)
+		f.serve(1, f.order, fine)
+		require.LessOrEqual(t, since(f.r.tried, f.now-4*Second, nil), 1+0.1*since(f.r.taken, f.now-4*Second, nil))
+	}
+	require.Positive(t, f.toBuild(2))
+	for _, s := range f.sent {
+		require.False(t, s.build == 2 && s.Task.Category != f.quote)
+	}
+	f.r.Told(f.now, News{Build: 2, Phase: GoingBack})
+	n := f.toBuild(2)
+	f.serve(100, f.quote, fine)
+	require.Equal(t, n, f.toBuild(2))
+}
+
+func TestAfterAStartExposureIsUnknownRatherThanFree(t *testing.T) {
+	f, _ := begin(t, nil)
+	f.r.Told(f.now, News{Build: 2, Stage: 1, Cap: 0.5})
+	f.serve(60, f.quote, fine) // three seconds, less than the window
+	require.Zero(t, f.toBuild(2))
+}
+
+func TestAnUnannouncedBuildCountsAsFirstStage(t *testing.T) {
+	f, _ := begin(t, nil)
+	on, stage, share := f.r.trial(2)
+	require.True(t, on)
+	require.Zero(t, stage)
+	require.Equal(t, 0.1, share)
+}
+
+func TestKeysStayWithTheBuildThatAnsweredThem(t *testing.T) {
+	f, _ := begin(t, func(p *Place) { p.Desk.KeysStay = true })
+	f.trial(1, 0.5)
+	f.r.kept["pen"] = 2
+	task := &Task{Category: f.quote, Patience: Second, Key: "pen"}
+	f.r.Take(f.now, task)
+	for _, s := range task.Sends {
+		require.Equal(t, 2, s.build)
+	}
+}
+
+func TestAGoodBuildIsVotedOnAndABadOneBack(t *testing.T) {
+	story := func(bad func(*Send) bool) []Voice {
+		f, list := begin(t, nil)
+		for id := range uint32(5) {
+			list = append(list, f.host(10+id, 2))
+		}
+		f.r.Listed(f.now, list, true)
+		f.trial(2, 1)
+		for range 100 {
+			for _, c := range []*Category{f.quote, f.order, f.payment} {
+				f.serve(1, c, func(s *Send) Fate {
+					if s.build == 2 && bad(s) {
+						return Errored
+					}
+					return Finished
+				})
+			}
+		}
+		return f.votes
+	}
+	require.Contains(t, story(func(*Send) bool { return false }), On)
+	require.NotContains(t, story(func(*Send) bool { return false }), Back)
+	n := 0
+	require.Contains(t, story(func(*Send) bool { n++; return n%3 == 0 }), Back)
+	require.NotContains(t, story(func(s *Send) bool { return s.Host.ID == 9 }), Back) // one sick host is no build
+	require.NotContains(t, story(func(s *Send) bool { return s.Task.Category.Repeat == Binding }), On)
+}
+
+func TestOneHostAloneCannotSendABuildBack(t *testing.T) {
+	f, _ := begin(t, nil)
+	f.trial(1, 0.5)
+	f.serve(200, f.quote, func(s *Send) Fate {
+		if s.build == 2 {
+			return Errored
+		}
+		return Finished
+	})
+	require.NotContains(t, f.votes, Back)
+}
+
+func TestComplaintsHoldABuildThatAnswersWrongly(t *testing.T) {
+	f, _ := begin(t, func(p *Place) { p.Desk.Complaints = 0.3 })
+	f.trial(2, 1)
+	f.serve(40, f.quote, fine)
+	clear, _ := f.r.weight()
+	for range 3 {
+		f.r.Complained(f.now, f.sent[len(f.sent)-1].Host, f.quote, Second/2)
+		for _, h := range f.r.hosts {
+			if h.Build == 2 {
+				f.r.Complained(f.now, h, f.quote, Second/2)
+			}
+		}
+	}
+	wrong, _ := f.r.weight()
+	require.Greater(t, wrong, 8*clear)
+}
+
+func TestColdTimeoutsDoNotSpeakAgainstABuild(t *testing.T) {
+	f, list := begin(t, nil)
+	f.trial(1, 0.5)
+	list[6].Up = f.now
+	f.r.Listed(f.now, list, true)
+	f.serve(60, f.quote, func(s *Send) Fate {
+		if s.build == 2 {
+			return NoAnswer
+		}
+		return Finished
+	})
+	w, _ := f.r.weight()
+	require.LessOrEqual(t, w, 1.0)
+}
+
+func TestAnUnansweredVoteIsCastAgainWithoutAFlood(t *testing.T) {
+	f, _ := begin(t, nil)
+	f.trial(0, 0.1)
+	f.pass(20 * Second)
+	require.Greater(t, len(f.votes), 5)
+	require.Less(t, len(f.votes), 20)
+	f.r.Told(f.now, News{Answer: Counted, Build: 2, Cap: 0.1})
+	n := len(f.votes)
+	f.pass(5 * Second)
+	require.Len(t, f.votes, n)
+	f.pass(5 * Second) // renewed before it runs out
+	require.Greater(t, len(f.votes), n)
+}
+
+func TestASickHostGetsATrickleAndComesBack(t *testing.T) {
+	f, list := begin(t, nil)
+	ill := true
+	fate := func(s *Send) Fate {
+		if s.Host.ID == 1 && ill {
+			return Errored
+		}
+		return Finished
+	}
+	f.serve(200, f.quote, fate)
+	require.Equal(t, sick, list[0].Host.health)
+	f.sent = nil
+	f.serve(100, f.payment, fate)
+	for _, s := range f.sent {
+		require.NotEqual(t, uint32(1), s.Host.ID)
+	}
+	ill = false
+	f.serve(100, f.quote, fate)
+	require.Equal(t, fit, list[0].Host.health)
+}
+
+func TestWhenAllHostsFailNoneIsToBlame(t *testing.T) {
+	f, list := begin(t, nil)
+	f.serve(100, f.quote, func(*Send) Fate { return Errored })
+	for _, l := range list[:6] {
+		require.Equal(t, fit, l.Host.health)
+	}
+}
+
+func TestAJamTurnsBackEarlyAndAnIdleFleetTakesAgain(t *testing.T) {
+	f, _ := begin(t, nil)
+	f.serve(60, f.quote, fine)
+	for range 400 { // nothing is answered any more
+		f.take(f.quote)
+		f.pass(Second / 100)
+	}
+	require.NotEmpty(t, f.turned)
+	for _, s := range f.sent {
+		if s.fate == Out {
+			f.end(s, NoAnswer, 3*Second)
+		}
+	}
+	f.pass(Second)
+	require.NotEmpty(t, f.take(f.quote).Sends)
+}
+
+func TestFurtherSendsKeepABudget(t *testing.T) {
+	f, _ := begin(t, nil)
+	f.serve(80, f.quote, fine)
+	f.sent = nil
+	f.serve(100, f.quote, func(*Send) Fate { return Errored })
+	require.Less(t, len(f.sent), 130)
+}
