Builds that slow every host are told by resting copies and by lasting slowness after a release

Cause: such a build leaves no gap between old and new. Copies rest every other turn while the earlier build is slower than before; the last stage tries the build in earnest.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -266,21 +266,28 @@
 // onTrial picks a host for a copy, or nil where one is not allowed or not wanted. Categories with an effect
 // go there only after the guarded stages, and only until they have been judged.
 func (r *Router) onTrial(t *Task) *Host {
-	const part = 0.7                // of what hosts of the earlier build get now, so that the trial's own load proves nothing
+	const early, last = 0.7, 1      // of what hosts of the earlier build get, so that the trial's own load proves nothing
 	const cleared, guilty = 0.1, 30 // odds: a category with an effect is risked no more than judging it takes
 	const lately = 2 * Second
-	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || !r.room(r.news.Build, t.Category) {
+	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(r.news.Build, t.Category) {
 		return nil
 	}
-	peers := r.count(r.old)
-	hosts := r.count(func(h *Host) bool { return h.Build == r.news.Build && h.Standing == Serving })
+	runs := func(h *Host) bool { return h.Build == r.news.Build && h.Standing == Serving }
+	on, warm := runs, func(h *Host) bool { return runs(h) && r.now-h.Up > r.limits.Cold }
+	part := float64(early)
+	if r.news.Stage+1 >= len(r.desk.Caps) { // before a release the build is tried in earnest, cold hosts too
+		part = last
+	} else if r.count(warm) > 0 { // they tell most: cold ones are slow anyhow, and what fails late fails there first
+		on = warm
+	}
+	peers, hosts := r.count(r.old), r.count(on)
 	fair := part * since(r.flow, r.now-lately, nil) / max(1, peers) * hosts
 	if since(r.tried, r.now-lately, nil)+1 > max(1, fair) ||
 		t.Category.Repeat != Retriable && (t.Category.odds < cleared || t.Category.odds > guilty) {
 		return nil
 	}
 	return r.pick(t, func(h *Host) bool { // a sick one is judged too, but not at the cost of an effect
-		return h.Build == r.news.Build && (h.health != sick || t.Category.Repeat == Retriable)
+		return on(h) && (h.health != sick || t.Category.Repeat == Retriable)
 	})
 }
 
@@ -592,6 +599,38 @@
 	return spoken(math.Exp(max(-6, min(6, (gap*more-more*more/2)/(a+b+apart)))), len(fresh))
 }
 
+const turn = 3 * Second // long enough for a fleet to show that copies rest, short beside a slowdown
+
+// resting tells whether copies rest: every other turn, on a clock that all routers share without a word, while the
+// earlier build's answers are slower than before the trial.
+func (r *Router) resting() bool { return r.now < r.suspect && r.now/turn%2 == 1 }
+
+// shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no, where the
+// earlier build is as quick as before; else by turns with copies against turns without.
+func (r *Router) shared(before *book) float64 {
+	const more, scatter, drift = 0.3, 0.6, 0.02 // log of a third slower; variance of a send, and of two times
+	weigh := func(gap, variance float64) float64 {
+		return math.Exp(max(-5, min(5, (gap*more-more*more/2)/variance)))
+	}
+	logs := before.slowness(r.now-turn, r.crowd)
+	if len(logs) < 10 {
+		return 1
+	}
+	if o := weigh(stat.Mean(logs, nil), scatter/float64(len(logs))+drift); o < 1 {
+		return o
+	}
+	const small = 0.15 // of the sends: what gets less can't slow a fleet so
+	if since(r.tried, r.now-turn, nil) < small*since(r.flow, r.now-turn, nil) && r.now > r.suspect {
+		return 1
+	}
+	r.suspect = r.now + 4*turn
+	with, without := before.turns(r.suspect-10*turn, turn, Second, r.crowd)
+	if r.now-r.staged < 2*turn || len(with) < 10 || len(without) < 10 {
+		return 1
+	}
+	return weigh(stat.Mean(with, nil)-stat.Mean(without, nil), scatter*(1/float64(len(with))+1/float64(len(without))))
+}
+
 // tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build apart,
 // so only what it counted at several counts, and only failures far beyond what one sick host brings.
 func (r *Router) tallied(c *Category, now, before int) float64 {
@@ -605,8 +644,9 @@
 // sends at the build before it: failures over all and by category, the desk's counts, slowness, complaints.
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
-	const floor = 0.01 // least usual failure share; a stray error in the first copies is no proof
-	const worst = 0.25 // of the hosts are left out to convict, so that sick ones do not speak for a build
+	const floor = 0.01          // least usual failure share; a stray error in the first copies is no proof
+	const lasting = 10 * Second // of times twice as long since a release: what slows a fleet from outside is shorter
+	const worst = 0.25          // of the hosts are left out to convict, so that sick ones do not speak for a build
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
 		return 1, nil
@@ -643,6 +683,16 @@
 	}
 	fresh, usual := words(now.samples, warm), words(before.samples, warm)
 	add(1, drag(fresh, usual, apart, 0.75), drag(fresh, usual, apart, 0.5)) // most of them to convict, half to doubt
+	if r.news.Phase == OnTrial {
+		o := r.shared(before)
+		add(1, o, o)
+	}
+	if logs := now.slowness(r.now-2*Second, r.crowd); r.news.Phase != Released || len(logs) < 10 ||
+		stat.Mean(logs, nil) < math.Ln2 {
+		r.quickAt = r.now
+	} else if r.now-r.quickAt > lasting {
+		add(1, math.Inf(1), 1)
+	}
 	if r.desk.Complaints > 0 {
 		usual := max(0.003, before.complaints()/float64(len(before.samples)+1)) // now and then a client errs
 		o := odds(now.complaints(), float64(len(now.samples)), usual, 0.01, 0.04)
@@ -686,6 +736,11 @@
 	if n.Answer == Unasked || n.Answer == Counted {
 		if !r.heard || n.Build != r.news.Build || n.Stage != r.news.Stage || n.Phase != r.news.Phase {
 			r.staged, r.ballot = now-n.Age, ballot{}
+			for _, c := range r.cats {
+				if n.Build != r.news.Build {
+					c.calm = c.mid
+				}
+			}
 		}
 		r.news, r.heard = n, true
 	}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -255,3 +255,34 @@
 	}
 	return n
 }
+
+// slowness is the log of how slow the earlier build's answers since from are against the time before the trial, and
+// their number.
+func (b *book) slowness(from Time, crowd float64) (logs []float64) {
+	for _, x := range b.samples {
+		if x.at > from && x.cat.calm > 0 {
+			logs = append(logs, x.logPace(crowd))
+		}
+	}
+	return logs
+}
+
+// logPace is the log of what a send took, less what the host's other tasks added, against the time before the trial.
+func (x sample) logPace(crowd float64) float64 {
+	return math.Log(float64(max(1, x.took)) / (1 + crowd*x.held) / float64(x.cat.calm))
+}
+
+// turns parts such logs into those of even and odd turns of a clock; the first part of each turn is left out.
+func (b *book) turns(from, turn, but Time, crowd float64) (even, odd []float64) {
+	for _, x := range b.samples {
+		at := x.at - x.took/2
+		switch {
+		case at < from || at%turn < but || x.cat.calm == 0:
+		case at/turn%2 == 0:
+			even = append(even, x.logPace(crowd))
+		default:
+			odd = append(odd, x.logPace(crowd))
+		}
+	}
+	return even, odd
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -39,6 +39,7 @@
 	work []float64 // the same, less what the host's other tasks added
 	mid  Time      // the middle of that
 	odds float64   // that the build on trial fails it
+	calm Time      // mid when the build on trial was first told
 }
 
 // Customer is whoever pays for a task.
@@ -319,6 +320,8 @@
 	crowd    float64  // what each task that a host holds adds to the time of the next, as a share
 	recent   []sample // finished sends at earlier builds
 	staged   Time     // when the present stage was first told
+	suspect  Time     // until when copies rest every other turn
+	quickAt  Time     // when the fleet was last about as quick as before the trial
 	taken    []moment
 	tried    []moment
 	flow     []moment
