--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -1,5 +1,6 @@
-// Package drill binds the simulator's events to calls of the decision module, and what it asks for to actions:
-// ids become pointers, microseconds become tenths of a millisecond, lists become changes. It decides nothing.
+// Package drill binds the simulator's events to calls of the decision module, and what it asks for to
+// actions: ids become pointers, microseconds become tenths of a millisecond, lists become changes. It
+// decides nothing.
 package drill
 
 import (
--- a/logic/host_test.go
+++ b/logic/host_test.go
@@ -43,8 +43,8 @@
 		order:   &Category{Repeat: Fingerprinted, Memory: 3 * Second, Promised: Second, Earnings: 5},
 		payment: &Category{Repeat: Binding, Promised: Second, Earnings: 2}}
 	p := Place{Seed: 7, Routers: 1, Location: f.here, Categories: []*Category{f.quote, f.order, f.payment},
-		Limits: Limits{Grace: Second, Cold: 5 * Second, ColdShare: 0.3, Tip: 3, TipFor: Second, AskWithin: 10 * Second,
-			MaxSends: 4, TwoAtOnce: true},
+		Limits: Limits{Grace: Second, Cold: 5 * Second, ColdShare: 0.3, Tip: 3, TipFor: Second,
+			AskWithin: 10 * Second, MaxSends: 4, TwoAtOnce: true},
 		Desk: Desk{Caps: []float64{0.1, 0.5, 1}, LeastTime: Second, VoteLife: 10 * Second, VoteTimeout: Second,
 			Window: 4 * Second, Free: 1, Guarded: 1}}
 	if change != nil {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,6 +1,7 @@
 // All decisions, tables and tuned values of dapplefront. Make a Router with NewRouter, then tell it what
-// happens (Listed, Take, Ended, Left, Due, Told, Counted, Complained), each with the clock; it answers through
-// its Hands before the call returns. The interface, nouns and all, is in types.go; docs/design.md says why.
+// happens (Listed, Take, Ended, Left, Due, Told, Counted, Complained), each with the clock; it answers
+// through its Hands before the call returns. The interface, nouns and all, is in types.go; docs/design.md
+// says why.
 package logic
 
 import (
@@ -13,11 +14,15 @@
 
 // NewRouter starts a router that knows nothing but its place.
 func NewRouter(now Time, p Place, hands Hands) *Router {
-	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers), location: p.Location,
-		cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{},
+	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers),
+		location: p.Location, cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{},
 		crowd: 0.3, peril: 0.02, jam: 1} // until there are samples: a fleet that is neither idle nor full
-	r.askList()
-	hands.WakeUp(judgeEvery, &Alarm{})
+	for _, c := range r.cats {
+		c.mid = max(1, c.Promised/5) // until something is known
+	}
+	if hands.WakeUp(judgeEvery, &Alarm{}); !p.Limits.Pushed {
+		hands.WatchHosts()
+	}
 	return r
 }
 
@@ -26,7 +31,7 @@
 	r.now = now
 	switch {
 	case a.list:
-		r.askList()
+		r.hands.WatchHosts()
 	case a.send == nil:
 		r.crowding()
 		r.jamming()
@@ -39,12 +44,6 @@
 
 // ---- The host list ----
 
-func (r *Router) askList() {
-	if !r.limits.Pushed {
-		r.hands.WatchHosts()
-	}
-}
-
 // Listed takes in changes to the host list; ok is false when a call for it failed. A failed watch may or may
 // not stand, so it is asked anew: soon, then slower, so that a list that is down is not flooded, yet well
 // inside the time after which silence counts as having been told.
@@ -84,8 +83,8 @@
 }
 
 // room tells whether one more send of the category at a build on trial keeps the rule on exposure. Sends are
-// counted over a little more than the window and tasks over a little less. What an earlier life of this router
-// sent is unknown after a start, so nothing goes there until one window has passed.
+// counted over a little more than the window and tasks over a little less. What an earlier life of this
+// router sent is unknown after a start, so nothing goes there until one window has passed.
 func (r *Router) room(build int, c *Category) bool {
 	const edge = Second / 20 // several ticks of any clock
 	on, stage, share := r.trial(build)
@@ -119,26 +118,14 @@
 
 // ---- Choosing a host ----
 
-// typical is what a finished send of the category takes at a host that holds nothing else.
-func (c *Category) typical() Time {
-	if c.mid == 0 {
-		return max(1, c.Promised/5) // until something is known
-	}
-	return c.mid
-}
-
-// crowding fits, by lines through the last finished sends, how much each task that a host holds adds to the time
-// of the next, and to its chance to miss the promised time. The first is near 1 where hosts work on one task at
-// a time and small where they have cores to spare.
+// crowding fits, by lines through the last finished sends, how much each task that a host holds adds to the
+// time of the next, and to its chance to miss the promised time. The first is near 1 where hosts work on one
+// task at a time and small where they have cores to spare.
 func (r *Router) crowding() {
 	if len(r.recent) < 40 { // too few for a line
 		return
 	}
-	var held, strains, misses []float64
-	for _, s := range r.recent {
-		held, strains = append(held, s.held), append(strains, min(s.strain, 6)) // one very long task says little
-		misses = append(misses, min(1, max(0, float64(s.took-s.cat.Promised))))
-	}
+	held, strains, misses := laden(r.recent, 6) // one very long task says little
 	if _, spread := stat.MeanStdDev(held, nil); spread > 0 {
 		base, more := stat.LinearRegression(held, strains, nil, false)
 		_, peril := stat.LinearRegression(held, misses, nil, false)
@@ -156,21 +143,16 @@
 }
 
 // held is how many tasks a host seems to have in hand: what it reported, with what was sent since, or else
-// this router's own open sends as a share of everyone's. A reported rate is no help: it calls all routers at once.
+// this router's own open sends as a share of everyone's. A reported rate is no help: it calls all routers at
+// once.
 func (r *Router) held(h *Host) float64 {
-	own, others := float64(len(h.open)), float64(r.routers-1)
+	own := float64(len(h.open))
 	switch l := h.load; {
 	case l == nil || r.now-h.loadAt > 2*Second: // a report that old says little
 	case l.Active >= 0:
-		since := 0.0
-		for _, s := range h.open {
-			if s.at >= h.loadAt {
-				since++
-			}
-		}
-		return max(own, l.Active+since)
+		return max(own, l.Active+since(h.sent, h.loadAt-1, nil))
 	}
-	return own * (others + 1)
+	return own * float64(r.routers)
 }
 
 // pace is how slow a host's last sends were against what is usual, given what it held; sends still out count
@@ -184,7 +166,7 @@
 		}
 	}
 	for _, s := range h.open {
-		usual := float64(s.Task.Category.typical()) * (1 + r.crowd*s.held)
+		usual := float64(s.Task.Category.mid) * (1 + r.crowd*s.held)
 		if x := float64(r.now-s.at) / usual; x > 2 {
 			pace, n = pace+x, n+1
 		}
@@ -226,7 +208,8 @@
 	case c.Repeat == Binding || r.now-x.at > c.Memory-edge:
 		return false
 	}
-	return c.Group == Everywhere || h.Location == x.Host.Location && (c.Group == SameLocation || h.Cell == x.Host.Cell)
+	here := h.Location == x.Host.Location && (c.Group == SameLocation || h.Cell == x.Host.Cell)
+	return here || c.Group == Everywhere
 }
 
 // earlier picks a host for the ordinary way: of the newest build that is not on trial, else of an older one,
@@ -266,10 +249,11 @@
 // onTrial picks a host for a copy, or nil where one is not allowed or not wanted. Categories with an effect
 // go there only after the guarded stages, and only until they have been judged.
 func (r *Router) onTrial(t *Task) *Host {
-	const early, last = 0.7, 1      // of what hosts of the earlier build get, so that the trial's own load proves nothing
+	const early, last = 0.7, 1      // of what earlier hosts get: the trial's own load must prove nothing
 	const cleared, guilty = 0.1, 30 // odds: a category with an effect is risked no more than judging it takes
 	const lately = 2 * Second
-	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(r.news.Build, t.Category) {
+	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || r.resting() ||
+		!r.room(r.news.Build, t.Category) {
 		return nil
 	}
 	runs := func(h *Host) bool { return h.Build == r.news.Build && h.Standing == Serving }
@@ -277,7 +261,7 @@
 	part := float64(early)
 	if r.news.Stage+1 >= len(r.desk.Caps) { // before a release the build is tried in earnest, cold hosts too
 		part = last
-	} else if r.count(warm) > 0 { // they tell most: cold ones are slow anyhow, and what fails late fails there first
+	} else if r.count(warm) > 0 { // they tell most, and what fails late fails there first
 		on = warm
 	}
 	peers, hosts := r.count(r.old), r.count(on)
@@ -306,16 +290,6 @@
 	{risky, ends, over, (*Router).rest},
 }
 
-func (r *Router) step(t *Task, in taskInput) {
-	for _, row := range tasks {
-		if row.state == t.state && row.input == in {
-			t.state = row.next
-			row.do(r, t)
-			return
-		}
-	}
-}
-
 // Take accepts a task; from here on it is owed one final answer.
 func (r *Router) Take(now Time, t *Task) {
 	r.now, t.at = now, now
@@ -360,13 +334,13 @@
 	}
 }
 
-// tooLate turns a task back early when the fleet would answer it too late. The less a task earns for its time,
-// the sooner, and sooner yet beyond its customer's share.
+// tooLate turns a task back early when the fleet would answer it too late. The less a task earns for its
+// time, the sooner, and sooner yet beyond its customer's share.
 func (r *Router) tooLate(t *Task) bool {
 	const high, low, beyond = 0.7, 0.5, 0.5 // of the promised time: the tail is longer than the mean
 	limit, better := high, 0
 	for _, c := range r.cats {
-		if c.Earnings*float64(t.Category.typical()) > t.Category.Earnings*float64(c.typical()) {
+		if c.Earnings*float64(t.Category.mid) > t.Category.Earnings*float64(c.mid) {
 			better++
 		}
 	}
@@ -376,7 +350,7 @@
 	if c := t.Customer; c != nil && since(c.taken, r.now-2*Second, nil) > 2.4*c.PerSecond/float64(r.routers) {
 		limit *= beyond
 	}
-	return r.jam*float64(t.Category.typical()) > limit*float64(min(t.Category.Promised, t.Patience))
+	return r.jam*float64(t.Category.mid) > limit*float64(min(t.Category.Promised, t.Patience))
 }
 
 // mayRepeat tells whether a second run of the task does no harm anywhere.
@@ -387,7 +361,7 @@
 func (r *Router) send(t *Task, h *Host, how role) {
 	s := r.enlist(t, h, how)
 	within := t.at + t.Patience - r.now
-	lingersAt := max(t.Category.slowest()*3/2, t.Category.typical()*2) // beyond 19 in 20, with some slack
+	lingersAt := max(t.Category.slowest()*3/2, t.Category.mid*2) // beyond 19 in 20, with some slack
 	switch {
 	case !t.Category.mayRepeat():
 	case r.limits.TwoAtOnce && how != copied:
@@ -395,7 +369,7 @@
 	case r.limits.TwoAtOnce || len(t.Sends) >= r.limits.MaxSends:
 	case how == lone: // one after the other: a lone copy leaves its original the time to answer
 		within = min(within, max(lingersAt, t.Category.Promised/3))
-	case t.at+t.Category.Promised-r.now-t.Category.typical() > lingersAt && r.spare():
+	case t.at+t.Category.Promised-r.now-t.Category.mid > lingersAt && r.spare():
 		within = min(within, lingersAt)
 	}
 	r.hands.Send(s, within)
@@ -404,7 +378,7 @@
 // spare tells whether the budget has room for a further send, so that a slow fleet is not given more work.
 func (r *Router) spare() bool {
 	const over, few, oneIn = 5 * Second, 4, 8 // one for every eight tasks taken lately, and a few
-	const full = 3                            // times longer than usual: answers are slow for want of hosts, not luck
+	const full = 3                            // times longer than usual: for want of hosts, not by bad luck
 	return r.jam < full && since(r.extra, r.now-over, nil) < few+since(r.taken, r.now-over, nil)/oneIn
 }
 
@@ -414,7 +388,7 @@
 	left := t.at + t.Patience - r.now
 	last := t.Sends[len(t.Sends)-1]
 	first := last.role == lone || last.fate == NoAnswer && !r.limits.TwoAtOnce // this router cut it short
-	if len(t.Sends) >= r.limits.MaxSends || left < t.Category.typical()/2 || !first && !r.spare() {
+	if len(t.Sends) >= r.limits.MaxSends || left < t.Category.mid/2 || !first && !r.spare() {
 		return false
 	}
 	h := r.earlier(t)
@@ -461,15 +435,6 @@
 	r.hands.TurnBack(t, stay)
 }
 
-// Left says that a client has gone.
-func (r *Router) Left(now Time, t *Task) {
-	r.now = now
-	r.step(t, ends)
-}
-
-// Began says that a send's answer has started to stream.
-func (r *Router) Began(now Time, s *Send) { r.now, s.began = now, true }
-
 // Ended says how a send ended, how long it took, whether its task is over, and what the host reported.
 func (r *Router) Ended(now Time, s *Send, fate Fate, took Time, done bool, load *Load) {
 	t := s.Task
@@ -513,7 +478,7 @@
 	if s.fate == Finished && r.old(h) {
 		c.took = keep(c.took, took, 64)
 		c.work = keep(c.work, float64(took)/(1+r.crowd*s.held), 64)
-		c.mid = max(1, Time(above(c.work, 0.5)*4/3)) // the middle and a third, for the tail: slow hosts weigh little
+		c.mid = max(1, Time(above(c.work, 0.5)*4/3)) // the middle and more, for the tail: slow hosts weigh little
 		r.recent = keep(r.recent, x, 200)
 	}
 	h.past = append(h.past, x)
@@ -565,28 +530,13 @@
 
 // ---- Evidence ----
 
-// Counted takes in what the desk counted.
-func (r *Router) Counted(now Time, c Count) {
-	r.now = now
-	c.hosts = int(r.count(func(h *Host) bool { return h.Build == c.Build && len(h.past) > 0 }))
-	r.counts = keep(r.counts, c, 100)
-}
-
-// Complained takes in that a client found an answer wrong.
-func (r *Router) Complained(now Time, h *Host, c *Category, age Time) {
-	r.now = now
-	if b := r.book(h.Build); h.Up <= now-age {
-		b.wrong = keep(b.wrong, sample{at: now, host: h, cat: c}, 240)
-	}
-}
-
 // spoken bounds the odds by the number of hosts that speak for them: each may at most quadruple them.
 func spoken(o float64, hosts int) float64 { return min(o, math.Pow(4, float64(max(1, hosts)))) }
 
-// drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow again
-// or more against no slower, host by host, since hosts differ among themselves however many sends they answer.
-// apart is the variance between two sets of hosts, at two times, whose builds are equally good; share is how
-// many of the hosts must be at least that slow.
+// drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow
+// again or more against no slower, host by host, since hosts differ among themselves however many sends they
+// answer. apart is the variance between two sets of hosts, at two times, whose builds are equally good;
+// share is how many of the hosts must be at least that slow.
 func drag(now, before []word, apart, share float64) float64 {
 	const differ, scatter = 0.2, 0.8 // variance is the square of the one, and the other by number of sends
 	const more = 0.6                 // log of 1.8: a fleet that is half full feels that
@@ -601,12 +551,12 @@
 
 const turn = 3 * Second // long enough for a fleet to show that copies rest, short beside a slowdown
 
-// resting tells whether copies rest: every other turn, on a clock that all routers share without a word, while the
-// earlier build's answers are slower than before the trial.
+// resting tells whether copies rest: every other turn, on a clock that all routers share without a word,
+// while the earlier build's answers are slower than before the trial.
 func (r *Router) resting() bool { return r.now < r.suspect && r.now/turn%2 == 1 }
 
-// shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no, where the
-// earlier build is as quick as before; else by turns with copies against turns without.
+// shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no,
+// where the earlier build is as quick as before; else by turns with copies against turns without.
 func (r *Router) shared(before *book) float64 {
 	const more, scatter, drift = 0.3, 0.6, 0.02 // log of a third slower; variance of a send, and of two times
 	weigh := func(gap, variance float64) float64 {
@@ -628,11 +578,12 @@
 	if r.now-r.staged < 2*turn || len(with) < 10 || len(without) < 10 {
 		return 1
 	}
-	return weigh(stat.Mean(with, nil)-stat.Mean(without, nil), scatter*(1/float64(len(with))+1/float64(len(without))))
+	variance := scatter * (1/float64(len(with)) + 1/float64(len(without)))
+	return weigh(stat.Mean(with, nil)-stat.Mean(without, nil), variance)
 }
 
-// tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build apart,
-// so only what it counted at several counts, and only failures far beyond what one sick host brings.
+// tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build
+// apart, so only what it counted at several counts, and only failures far beyond what one sick host brings.
 func (r *Router) tallied(c *Category, now, before int) float64 {
 	const floor, few = 0.1, 4
 	bad, n, hosts := r.counted(c, now, few)
@@ -645,8 +596,8 @@
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
 	const floor = 0.01          // least usual failure share; a stray error in the first copies is no proof
-	const lasting = 10 * Second // of times twice as long since a release: what slows a fleet from outside is shorter
-	const worst = 0.25          // of the hosts are left out to convict, so that sick ones do not speak for a build
+	const lasting = 10 * Second // of double times after a release: what slows from outside is shorter
+	const worst = 0.25          // of the hosts, left out to convict: sick ones don't speak for a build
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
 		return 1, nil
@@ -682,7 +633,7 @@
 		}
 	}
 	fresh, usual := words(now.samples, warm), words(before.samples, warm)
-	add(1, drag(fresh, usual, apart, 0.75), drag(fresh, usual, apart, 0.5)) // most of them to convict, half to doubt
+	add(1, drag(fresh, usual, apart, 0.75), drag(fresh, usual, apart, 0.5)) // most to convict, half to doubt
 	if r.news.Phase == OnTrial {
 		o := r.shared(before)
 		add(1, o, o)
@@ -734,15 +685,7 @@
 func (r *Router) Told(now Time, n News) {
 	r.now = now
 	if n.Answer == Unasked || n.Answer == Counted {
-		if !r.heard || n.Build != r.news.Build || n.Stage != r.news.Stage || n.Phase != r.news.Phase {
-			r.staged, r.ballot = now-n.Age, ballot{}
-			for _, c := range r.cats {
-				if n.Build != r.news.Build {
-					c.calm = c.mid
-				}
-			}
-		}
-		r.news, r.heard = n, true
+		r.turnTo(n)
 	}
 	switch n.Answer {
 	case Counted:
@@ -752,8 +695,8 @@
 	}
 }
 
-// verdict turns the weight of the evidence into a vote. A move that exposes little needs no proof, as sends at
-// the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
+// verdict turns the weight of the evidence into a vote. A move that exposes little needs no proof, as sends
+// at the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
 func (r *Router) verdict() Voice {
 	const alarm, lateAlarm = 8.0, 30.0 // one good build in so many, at the most, is sent back by chance
 	const doubt, sure = 4.0, 0.3       // on in a stage unless in doubt; release when fairly sure
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -194,7 +194,7 @@
 	require.NotContains(t, story(func(*Send) bool { return false }), Back)
 	n := 0
 	require.Contains(t, story(func(*Send) bool { n++; return n%3 == 0 }), Back)
-	require.NotContains(t, story(func(s *Send) bool { return s.Host.ID == 9 }), Back) // one sick host is no build
+	require.NotContains(t, story(func(s *Send) bool { return s.Host.ID == 9 }), Back) // one sick host
 	require.NotContains(t, story(func(s *Send) bool { return s.Task.Category.Repeat == Binding }), On)
 }
 
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -124,7 +124,7 @@
 // sampled is what an ended send showed.
 func (r *Router) sampled(s *Send, took Time) sample {
 	x := sample{at: r.now, took: took, age: s.at - s.up, host: s.Host, cat: s.Task.Category, fate: s.fate,
-		held: s.held, strain: float64(took) / float64(s.Task.Category.typical())}
+		held: s.held, strain: float64(took) / float64(s.Task.Category.mid)}
 	x.pace = x.strain / (1 + r.crowd*s.held)
 	if s.up == 0 {
 		x.age = math.MaxInt32
@@ -167,7 +167,7 @@
 // working is the work that was answered in a span, in usual times, and the sends out at hosts that are well.
 func (r *Router) working(over Time) (done, out, hosts float64) {
 	for n := len(r.done) - 1; n >= 0 && r.done[n].at > r.now-over; n-- {
-		done += float64(r.done[n].cat.typical())
+		done += float64(r.done[n].cat.mid)
 	}
 	for _, h := range r.hosts {
 		if h.health == fit && r.old(h) {
@@ -178,8 +178,9 @@
 }
 
 // odds weighs bad against n tries as signs that a build fails more than the usual share: the mean likelihood
-// ratio over a few sizes of the gap. Were the build good it would pass x with a chance of at most 1/x, however
-// often it is looked at, and a mean of such odds keeps that bound; so many looks and tests raise no alarm.
+// ratio over a few sizes of the gap. Were the build good it would pass x with a chance of at most 1/x,
+// however often it is looked at, and a mean of such odds keeps that bound; so many looks and tests raise no
+// alarm.
 func odds(bad, n, usual float64, gaps ...float64) (mean float64) {
 	for _, g := range gaps {
 		p := usual + g*(1-usual)
@@ -188,7 +189,8 @@
 	return mean
 }
 
-// tally adds up sends, failed ones, and hosts with any, over all but a share of the hosts: those with most failures.
+// tally adds up sends, failed ones, and hosts with any, over all but a share of the hosts: those with most
+// failures.
 func tally(sums []word, but float64) (bad, n float64, hosts int) {
 	for _, x := range sums[:max(min(1, len(sums)), len(sums)-int(math.Ceil(but*float64(len(sums)))))] {
 		if bad, n = bad+x.bad, n+x.n; x.bad > 0 {
@@ -198,8 +200,8 @@
 	return bad, n, hosts
 }
 
-// paces are the logs of how slow hosts with so many sends are, and the variance of their mean when hosts differ by
-// so much among themselves and sends scatter by so much.
+// paces are the logs of how slow hosts with so many sends are, and the variance of their mean when hosts
+// differ by so much among themselves and sends scatter by so much.
 func paces(hosts []word, least, differ, scatter float64) (logs []float64, variance float64) {
 	for _, x := range hosts {
 		if x.n >= least {
@@ -256,8 +258,8 @@
 	return n
 }
 
-// slowness is the log of how slow the earlier build's answers since from are against the time before the trial, and
-// their number.
+// slowness is the log of how slow the earlier build's answers since from are against the time before the
+// trial, and their number.
 func (b *book) slowness(from Time, crowd float64) (logs []float64) {
 	for _, x := range b.samples {
 		if x.at > from && x.cat.calm > 0 {
@@ -267,7 +269,8 @@
 	return logs
 }
 
-// logPace is the log of what a send took, less what the host's other tasks added, against the time before the trial.
+// logPace is the log of what a send took, less what the host's other tasks added, against the time before
+// the trial.
 func (x sample) logPace(crowd float64) float64 {
 	return math.Log(float64(max(1, x.took)) / (1 + crowd*x.held) / float64(x.cat.calm))
 }
@@ -286,3 +289,60 @@
 	}
 	return even, odd
 }
+
+// Left says that a client has gone.
+func (r *Router) Left(now Time, t *Task) {
+	r.now = now
+	r.step(t, ends)
+}
+
+// Began says that a send's answer has started to stream.
+func (r *Router) Began(now Time, s *Send) { r.now, s.began = now, true }
+
+// Counted takes in what the desk counted.
+func (r *Router) Counted(now Time, c Count) {
+	r.now = now
+	c.hosts = int(r.count(func(h *Host) bool { return h.Build == c.Build && len(h.past) > 0 }))
+	r.counts = keep(r.counts, c, 100)
+}
+
+// Complained takes in that a client found an answer wrong.
+func (r *Router) Complained(now Time, h *Host, c *Category, age Time) {
+	r.now = now
+	if b := r.book(h.Build); h.Up <= now-age {
+		b.wrong = keep(b.wrong, sample{at: now, host: h, cat: c}, 240)
+	}
+}
+
+// step reads the table of tasks.
+func (r *Router) step(t *Task, in taskInput) {
+	for _, row := range tasks {
+		if row.state == t.state && row.input == in {
+			t.state = row.next
+			row.do(r, t)
+			return
+		}
+	}
+}
+
+// turnTo takes over news, and at a new build remembers how quick the fleet was before it.
+func (r *Router) turnTo(n News) {
+	if !r.heard || n.Build != r.news.Build || n.Stage != r.news.Stage || n.Phase != r.news.Phase {
+		r.staged, r.ballot = r.now-n.Age, ballot{}
+	}
+	for _, c := range r.cats {
+		if n.Build != r.news.Build {
+			c.calm = c.mid
+		}
+	}
+	r.news, r.heard = n, true
+}
+
+// laden lists what hosts held, the strain of their answers up to a limit, and which broke the promised time.
+func laden(samples []sample, limit float64) (held, strains, misses []float64) {
+	for _, s := range samples {
+		held, strains = append(held, s.held), append(strains, min(s.strain, limit))
+		misses = append(misses, min(1, max(0, float64(s.took-s.cat.Promised))))
+	}
+	return held, strains, misses
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -37,7 +37,7 @@
 
 	took []Time    // what finished sends took lately
 	work []float64 // the same, less what the host's other tasks added
-	mid  Time      // the middle of that
+	mid  Time      // what it usually takes at a host that holds nothing else
 	odds float64   // that the build on trial fails it
 	calm Time      // mid when the build on trial was first told
 }
