Jam by side and by what is out at this moment; turn back from the whole promised time

Cause: admission by a jam measured every fifth of a second swung between all and nothing; a jammed side was not left.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -16,7 +16,7 @@
 func NewRouter(now Time, p Place, hands Hands) *Router {
 	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers),
 		location: p.Location, cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{},
-		crowd: 0.3, peril: 0.02, jam: 1} // until there are samples: a fleet that is neither idle nor full
+		crowd: 0.3} // until there are samples: a fleet that is neither idle nor full
 	for _, c := range r.cats {
 		c.mid = max(1, c.Promised/5) // until something is known
 	}
@@ -34,7 +34,6 @@
 		r.hands.WatchHosts()
 	case a.send == nil:
 		r.crowding()
-		r.jamming()
 		r.judge()
 		r.hands.WakeUp(judgeEvery, a)
 	case a.send.fate == Out && !a.send.began:
@@ -118,19 +117,16 @@
 
 // ---- Choosing a host ----
 
-// crowding fits, by lines through the last finished sends, how much each task that a host holds adds to the
-// time of the next, and to its chance to miss the promised time. The first is near 1 where hosts work on one
-// task at a time and small where they have cores to spare.
+// crowding fits, by a line through the last finished sends, how much each task that a host holds adds to the
+// time of the next: near 1 where hosts work on one task at a time, and little where they have cores to spare.
 func (r *Router) crowding() {
 	if len(r.recent) < 40 { // too few for a line
 		return
 	}
-	held, strains, misses := laden(r.recent, 6) // one very long task says little
+	held, strains := laden(r.recent, 6) // one very long task says little
 	if _, spread := stat.MeanStdDev(held, nil); spread > 0 {
 		base, more := stat.LinearRegression(held, strains, nil, false)
-		_, peril := stat.LinearRegression(held, misses, nil, false)
 		r.crowd = min(1.5, max(0.02, more/max(0.1, base)))
-		r.peril = min(0.2, max(0.005, peril)) // never nothing: what has not jammed yet still may
 	}
 }
 
@@ -174,10 +170,10 @@
 	return pace / n
 }
 
-// pick draws two hosts at random among those nearby and two among the rest, and takes the less busy one; the
-// far one only if the promised time is so much likelier to be kept there that it is worth the price.
+// pick draws two hosts at random among those nearby and two among the rest, and takes the less busy one; a far
+// one only if the promised time is so much likelier to be kept there that it is worth the price.
 func (r *Router) pick(t *Task, fits func(*Host) bool) (best *Host) {
-	near, far := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
+	here, there := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
 	busy := func(h *Host) float64 { return r.pace(h) * (1 + r.held(h)) }
 	draw := func(from []*Host) (best *Host) {
 		for range min(2, len(from)) {
@@ -187,8 +183,9 @@
 		}
 		return best
 	}
-	a, b := draw(near), draw(far)
-	if a == nil || b != nil && r.peril*(busy(a)-busy(b)) > r.limits.CrossPrice {
+	a, b := draw(here), draw(there)
+	price := r.limits.CrossPrice * float64(50+r.chance(100)) / 100 // a band, or all would cross at once
+	if a == nil || b != nil && r.misses(t, near)-r.misses(t, far) > price {
 		return b
 	}
 	return a
@@ -293,9 +290,9 @@
 // Take accepts a task; from here on it is owed one final answer.
 func (r *Router) Take(now Time, t *Task) {
 	r.now, t.at = now, now
-	r.taken = keep(r.taken, moment{now, t.Category}, 8192) // more than any window holds
+	r.taken = keep(r.taken, moment{at: now, cat: t.Category}, 8192) // more than any window holds
 	if c := t.Customer; c != nil {
-		c.taken = keep(c.taken, moment{now, t.Category}, 4096)
+		c.taken = keep(c.taken, moment{at: now, cat: t.Category}, 4096)
 	}
 	r.step(t, arrives)
 }
@@ -317,27 +314,33 @@
 		r.send(t, h, lone)
 		return
 	}
-	if h = r.earlier(t); h == nil || r.tooLate(t) {
+	if h = r.earlier(t); h == nil || r.tooLate(t, h) {
 		r.settle(t)
 		return
 	}
 	r.send(t, h, original)
 }
 
-// jamming works out how often longer than usual the fleet's answers take: what is out at hosts that work, by
-// the rate at which work is answered. As what is out drains it falls, and a fleet is never left idle.
-func (r *Router) jamming() {
+// jam is how often longer than usual the hosts nearby or the rest take to answer: what is out at those that work,
+// by the rate at which work was answered. As what is out drains it falls, and hosts are never left idle.
+func (r *Router) jam(side int) float64 {
 	const over = 2 * Second
-	done, out, hosts := r.working(over)
-	if r.jam = 0; out*float64(r.routers) > hosts {
-		r.jam = out * float64(min(over, r.now-r.born)) / max(1, done)
+	out, hosts := r.out(side)
+	if out*float64(r.routers) <= hosts {
+		return 0
 	}
+	return out * float64(min(over, r.now-r.born)) / max(1, r.answered(over, side))
 }
 
-// tooLate turns a task back early when the fleet would answer it too late. The less a task earns for its
-// time, the sooner, and sooner yet beyond its customer's share.
-func (r *Router) tooLate(t *Task) bool {
-	const high, low, beyond = 0.7, 0.5, 0.5 // of the promised time: the tail is longer than the mean
+// misses is the chance that a task breaks its promised time on a side, as if answers took exponential times.
+func (r *Router) misses(t *Task, side int) float64 {
+	return math.Exp(-float64(t.Category.Promised) / max(1, r.jam(side)*float64(t.Category.mid)))
+}
+
+// tooLate turns a task back early when the hosts around the one chosen would answer it too late. The less a task
+// earns for its time, the sooner, and sooner yet beyond its customer's share.
+func (r *Router) tooLate(t *Task, h *Host) bool {
+	const high, low, beyond = 1.0, 0.8, 0.5 // of the promised time: the tail is longer than the mean
 	limit, better := high, 0
 	for _, c := range r.cats {
 		if c.Earnings*float64(t.Category.mid) > t.Category.Earnings*float64(c.mid) {
@@ -350,7 +353,7 @@
 	if c := t.Customer; c != nil && since(c.taken, r.now-2*Second, nil) > 2.4*c.PerSecond/float64(r.routers) {
 		limit *= beyond
 	}
-	return r.jam*float64(t.Category.mid) > limit*float64(min(t.Category.Promised, t.Patience))
+	return r.jam(r.side(h))*float64(t.Category.mid) > limit*float64(min(t.Category.Promised, t.Patience))
 }
 
 // mayRepeat tells whether a second run of the task does no harm anywhere.
@@ -379,7 +382,7 @@
 func (r *Router) spare() bool {
 	const over, few, oneIn = 5 * Second, 4, 8 // one for every eight tasks taken lately, and a few
 	const full = 3                            // times longer than usual: for want of hosts, not by bad luck
-	return r.jam < full && since(r.extra, r.now-over, nil) < few+since(r.taken, r.now-over, nil)/oneIn
+	return min(r.jam(near), r.jam(far)) < full && since(r.extra, r.now-over, nil) < few+since(r.taken, r.now-over, nil)/oneIn
 }
 
 // more sends a task once more where that is allowed, affordable and can still be in time. What follows a lone
@@ -396,7 +399,7 @@
 		return false
 	}
 	if !first {
-		r.extra = keep(r.extra, moment{r.now, t.Category}, 2048)
+		r.extra = keep(r.extra, moment{at: r.now, cat: t.Category}, 2048)
 	}
 	r.send(t, h, further)
 	return true
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -100,11 +100,11 @@
 func (r *Router) enlist(t *Task, h *Host, how role) *Send {
 	s := &Send{Task: t, Host: h, at: r.now, build: h.Build, up: h.Up, held: r.held(h), role: how}
 	t.Sends, h.open = append(t.Sends, s), append(h.open, s)
-	h.sent = keep(h.sent, moment{r.now, t.Category}, 256)
+	h.sent = keep(h.sent, moment{at: r.now, cat: t.Category}, 256)
 	if r.old(h) {
-		r.flow = keep(r.flow, moment{r.now, t.Category}, 8192)
+		r.flow = keep(r.flow, moment{at: r.now, cat: t.Category}, 8192)
 	} else {
-		r.tried = keep(r.tried, moment{r.now, t.Category}, 8192)
+		r.tried = keep(r.tried, moment{at: r.now, cat: t.Category}, 8192)
 	}
 	return s
 }
@@ -117,7 +117,7 @@
 		s.Host.load, s.Host.loadAt = load, r.now
 	}
 	if fate == Finished {
-		r.done = keep(r.done, moment{r.now, s.Task.Category}, 4096)
+		r.done = keep(r.done, moment{r.now, s.Task.Category, r.side(s.Host)}, 4096)
 	}
 }
 
@@ -164,17 +164,27 @@
 	return bad, n, hosts
 }
 
-// working is the work that was answered in a span, in usual times, and the sends out at hosts that are well.
-func (r *Router) working(over Time) (done, out, hosts float64) {
-	for n := len(r.done) - 1; n >= 0 && r.done[n].at > r.now-over; n-- {
-		done += float64(r.done[n].cat.mid)
+// answered is the work that a side answered in a span, in usual times; it is worked out once for each moment.
+func (r *Router) answered(over Time, side int) float64 {
+	if w := &r.work[side]; w.at != r.now {
+		w.at, w.done = r.now, 0
+		for n := len(r.done) - 1; n >= 0 && r.done[n].at > r.now-over; n-- {
+			if r.done[n].side == side {
+				w.done += float64(r.done[n].cat.mid)
+			}
+		}
 	}
+	return r.work[side].done
+}
+
+// out is the sends out at a side's hosts that are well, and these hosts.
+func (r *Router) out(side int) (out, hosts float64) {
 	for _, h := range r.hosts {
-		if h.health == fit && r.old(h) {
+		if h.health == fit && r.old(h) && r.side(h) == side {
 			out, hosts = out+float64(len(h.open)), hosts+1
 		}
 	}
-	return done, out, hosts
+	return out, hosts
 }
 
 // odds weighs bad against n tries as signs that a build fails more than the usual share: the mean likelihood
@@ -235,17 +245,17 @@
 }
 
 // parted are the hosts nearby and the rest, as far as they fit.
-func (r *Router) parted(fits func(*Host) bool) (near, far []*Host) {
+func (r *Router) parted(fits func(*Host) bool) (here, there []*Host) {
 	for _, h := range r.hosts {
 		switch {
 		case h.Standing != Serving || !fits(h):
-		case h.Location == r.location:
-			near = append(near, h)
+		case r.side(h) == near:
+			here = append(here, h)
 		default:
-			far = append(far, h)
+			there = append(there, h)
 		}
 	}
-	return near, far
+	return here, there
 }
 
 // complaints are those about sends as late as the samples kept.
@@ -338,11 +348,18 @@
 	r.news, r.heard = n, true
 }
 
-// laden lists what hosts held, the strain of their answers up to a limit, and which broke the promised time.
-func laden(samples []sample, limit float64) (held, strains, misses []float64) {
+// laden lists what hosts held, and the strain of their answers up to a limit.
+func laden(samples []sample, limit float64) (held, strains []float64) {
 	for _, s := range samples {
 		held, strains = append(held, s.held), append(strains, min(s.strain, limit))
-		misses = append(misses, min(1, max(0, float64(s.took-s.cat.Promised))))
 	}
-	return held, strains, misses
+	return held, strains
+}
+
+// side tells hosts nearby from the rest.
+func (r *Router) side(h *Host) int {
+	if h.Location == r.location {
+		return near
+	}
+	return far
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -289,8 +289,9 @@
 }
 
 type moment struct {
-	at  Time
-	cat *Category
+	at   Time
+	cat  *Category
+	side int
 }
 
 type ballot struct {
@@ -315,23 +316,25 @@
 	hosts    []*Host
 	news     News
 	heard    bool
-	jam      float64  // how often longer than usual the fleet's answers take now
-	peril    float64  // what each such task adds to the chance to miss the promised time
-	crowd    float64  // what each task that a host holds adds to the time of the next, as a share
-	recent   []sample // finished sends at earlier builds
-	staged   Time     // when the present stage was first told
-	suspect  Time     // until when copies rest every other turn
-	quickAt  Time     // when the fleet was last about as quick as before the trial
-	taken    []moment
-	tried    []moment
-	flow     []moment
-	done     []moment
-	extra    []moment
-	kept     map[string]int
-	books    []*book
-	counts   []Count
-	ballot   ballot
-	lost     int // list calls that failed in a row
+	work     [2]struct { // near and far: work answered lately, as of a moment
+		at   Time
+		done float64
+	}
+	crowd   float64  // what each task that a host holds adds to the time of the next, as a share
+	recent  []sample // finished sends at earlier builds
+	staged  Time     // when the present stage was first told
+	suspect Time     // until when copies rest every other turn
+	quickAt Time     // when the fleet was last about as quick as before the trial
+	taken   []moment
+	tried   []moment
+	flow    []moment
+	done    []moment
+	extra   []moment
+	kept    map[string]int
+	books   []*book
+	counts  []Count
+	ballot  ballot
+	lost    int // list calls that failed in a row
 }
 
 type (
@@ -344,6 +347,11 @@
 	ballotInput int
 )
 
+const (
+	near = iota
+	far
+)
+
 const (
 	clean taskState = iota // nothing sent may have run
 	risky                  // something sent may have run
