Trust paces less, cross at half the price

Cause: few samples of heavy-tailed work made routers herd; a miss costs windows, classes and tails beyond its earnings.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -154,7 +154,7 @@
 // pace is how slow a host's last sends were against what is usual, given what it held; sends still out count
 // with their age. Few sends prove little.
 func (r *Router) pace(h *Host) float64 {
-	const doubt, old = 3.0, 10 * Second // as many usual sends are assumed; older ones are forgotten
+	const doubt, old = 8.0, 10 * Second // as many usual sends are assumed; older ones are forgotten
 	pace, n := doubt, doubt
 	for _, p := range h.past {
 		if r.now-p.at < old {
@@ -184,7 +184,7 @@
 		return best
 	}
 	a, b := draw(here), draw(there)
-	price := r.limits.CrossPrice * float64(50+r.chance(100)) / 100 // a band, or all would cross at once
+	price := r.limits.CrossPrice * float64(25+r.chance(50)) / 100 // a band, or all would cross at once; a miss costs more than its earnings
 	if a == nil || b != nil && r.misses(t, near)-r.misses(t, far) > price {
 		return b
 	}
