Compare copies and originals of the same time

Cause: a trouble that ended sooner for one set of samples than for the other sent a good build back.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -90,9 +90,11 @@
 		Tip: p.Float("Obligations.TipMultiple"), TipFor: span(p.Int("Obligations.OverloadForUs")),
 		AskWithin: span(p.Int("Obligations.AskWithinUs")), MaxSends: int(p.Int("Permissions.MaxAttempts")),
 		MaxOpen: int(p.Int("Permissions.MaxOpen")), TwoAtOnce: p.Bool("Permissions.SecondCopies"),
-		TimeToCome: p.Bool("Permissions.RetryAfter"), LongestStay: span(p.Int("Permissions.MaxRetryAfterUs")),
 		Pushed: p["RegistryMode"] == "pushed", CrossPrice: p.Float("Prices.CrossZone"),
 		WastePrice: p.Float("Prices.Waste"), OverShare: p.Float("OverShareWorth")}
+	if p.Bool("Permissions.RetryAfter") {
+		place.Limits.LongestStay = span(p.Int("Permissions.MaxRetryAfterUs"))
+	}
 	place.Desk = logic.Desk{
 		Control:  map[string]logic.Control{"share": logic.ShareOfVotes, "timer": logic.Clock}[p["Extra.Control"]],
 		VoteLife: span(p.Int("Extra.VoteStandsUs")), VoteTimeout: span(p.Int("Extra.CallTimeoutUs")),
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -246,7 +246,7 @@
 // onTrial picks a host for a copy, or nil where one is not allowed or not wanted. Categories with an effect
 // go there only after the guarded stages, and only until they have been judged.
 func (r *Router) onTrial(t *Task) *Host {
-	const early, last = 0.7, 1      // of what earlier hosts get: the trial's own load must prove nothing
+	const early, last = 0.7, 1.0    // of what earlier hosts get: the trial's own load must prove nothing
 	const cleared, guilty = 0.1, 30 // odds: a category with an effect is risked no more than judging it takes
 	const lately = 2 * Second
 	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || r.resting() ||
@@ -255,7 +255,7 @@
 	}
 	runs := func(h *Host) bool { return h.Build == r.news.Build && h.Standing == Serving }
 	on, warm := runs, func(h *Host) bool { return runs(h) && r.now-h.Up > r.limits.Cold }
-	part := float64(early)
+	part := early
 	if r.news.Stage+1 >= len(r.desk.Caps) { // before a release the build is tried in earnest, cold hosts too
 		part = last
 	} else if r.count(warm) > 0 { // they tell most, and what fails late fails there first
@@ -325,11 +325,10 @@
 // by the rate at which work was answered. As what is out drains it falls, and hosts are never left idle.
 func (r *Router) jam(side int) float64 {
 	const over = 2 * Second
-	out, hosts := r.out(side)
-	if out*float64(r.routers) <= hosts {
-		return 0
+	if out, hosts := r.out(side); out*float64(r.routers) > hosts {
+		return out * float64(min(over, r.now-r.born)) / max(1, r.answered(over, side))
 	}
-	return out * float64(min(over, r.now-r.born)) / max(1, r.answered(over, side))
+	return 0
 }
 
 // misses is the chance that a task breaks its promised time on a side, as if answers took exponential times.
@@ -431,11 +430,7 @@
 		r.hands.Scrap(t)
 		return
 	}
-	stay := Time(0)
-	if r.limits.TimeToCome {
-		stay = min(r.limits.LongestStay, Second/2) // a short jam is over by then
-	}
-	r.hands.TurnBack(t, stay)
+	r.hands.TurnBack(t, min(r.limits.LongestStay, Second/2)) // a short jam is over by then
 }
 
 // Ended says how a send ended, how long it took, whether its task is over, and what the host reported.
@@ -503,7 +498,7 @@
 	}
 	if in != refuses {
 		b := r.book(s.build)
-		b.samples = keep(b.samples, x, 240) // some seconds of a whole fleet's sends, all those of a trial
+		b.samples = keep(b.samples, x, 1500) // a trial's worth, or some ten seconds of a busy router's sends
 	}
 	for _, row := range healths {
 		if row.state == h.health && row.input == in {
@@ -545,7 +540,7 @@
 	const more = 0.6                 // log of 1.8: a fleet that is half full feels that
 	fresh, a := paces(now, 3, differ, scatter)
 	usual, b := paces(before, 3, differ, scatter)
-	if len(fresh) == 0 || len(usual) == 0 {
+	if min(len(fresh), len(usual)) == 0 {
 		return 1
 	}
 	gap := above(fresh, share) - above(usual, 0.5)
@@ -605,6 +600,11 @@
 	if before == nil {
 		return 1, nil
 	}
+	// Copies and originals of the same time are compared, or a trouble that begins or ends speaks for a build.
+	fresh, peers := now.since(before.start()), before.since(now.start())
+	if r.news.Phase == Released { // what was kept of the earlier build, against what happens now
+		fresh, peers = now.since(r.now-10*Second), before.samples
+	}
 	// A cold host is slow and times out, whatever its build: only its errors count.
 	warm := func(s sample) bool { return s.age > r.limits.Cold }
 	sum, shares := 0.0, 0.0
@@ -613,7 +613,7 @@
 	}
 	test := func(share float64, c *Category, gaps ...float64) (doubt float64) {
 		is := func(s sample) bool { return (c == nil || s.cat == c) && (warm(s) || s.fate != NoAnswer) }
-		fresh, usual := words(now.samples, is), words(before.samples, is)
+		fresh, usual := words(fresh, is), words(peers, is)
 		weigh := func(but float64) float64 {
 			bad, n, hosts := tally(fresh, but)
 			was, of, _ := tally(usual, but)
@@ -635,8 +635,8 @@
 			add(1/float64(len(r.cats)), o, o)
 		}
 	}
-	fresh, usual := words(now.samples, warm), words(before.samples, warm)
-	add(1, drag(fresh, usual, apart, 0.75), drag(fresh, usual, apart, 0.5)) // most to convict, half to doubt
+	all, usual := words(fresh, warm), words(peers, warm)
+	add(1, drag(all, usual, apart, 0.75), drag(all, usual, apart, 0.5)) // most to convict, half to doubt
 	if r.news.Phase == OnTrial {
 		o := r.shared(before)
 		add(1, o, o)
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -363,3 +363,17 @@
 	}
 	return far
 }
+
+// start is when the samples kept of a build begin.
+func (b *book) start() Time {
+	if len(b.samples) == 0 {
+		return 0
+	}
+	return b.samples[0].at
+}
+
+// since are the samples from a moment on.
+func (b *book) since(from Time) []sample {
+	i, _ := slices.BinarySearchFunc(b.samples, from, func(x sample, at Time) int { return int(x.at - at) })
+	return b.samples[i:]
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -235,8 +235,7 @@
 	MaxSends    int
 	MaxOpen     int
 	TwoAtOnce   bool
-	TimeToCome  bool // a turn-back may name a time to come back
-	LongestStay Time
+	LongestStay Time // that a turn-back may name as a time to come back; 0 for none
 	Pushed      bool // the host list comes by itself
 	CrossPrice  float64
 	WastePrice  float64
