--- a/logic/logic.go
+++ b/logic/logic.go
@@ -553,31 +553,33 @@
 // while the earlier build's answers are slower than before the trial.
 func (r *Router) resting() bool { return r.now < r.suspect && r.now/turn%2 == 1 }
 
-// shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no,
-// where the earlier build is as quick as before; else by turns with copies against turns without.
-func (r *Router) shared(before *book) float64 {
-	const more, scatter, drift = 0.3, 0.6, 0.02 // log of a third slower; variance of a send, and of two times
-	weigh := func(gap, variance float64) float64 {
+// shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: whether the
+// earlier build is slower than before by as much as one that would double all times, had it all the traffic,
+// should be at its present share; and then by turns with copies against turns without.
+func (r *Router) shared(before *book) (guilt, doubt float64) {
+	const scatter, drift = 0.6, 0.02 // variance of a send, and of two times
+	const small, unsure = 0.1, 3.0   // a share of the sends that tells nothing; what holds a release for a while
+	tried, logs := since(r.tried, r.now-turn, nil), before.slowness(r.now-turn, r.crowd)
+	part := tried / max(1, tried+since(r.flow, r.now-turn, nil))
+	if len(logs) < 10 || part < small && r.now > r.suspect {
+		return 1, 1
+	}
+	weigh := func(gap, part, variance float64) float64 {
+		more := math.Log1p(part)
 		return math.Exp(max(-5, min(5, (gap*more-more*more/2)/variance)))
 	}
-	logs := before.slowness(r.now-turn, r.crowd)
-	if len(logs) < 10 {
-		return 1
-	}
-	if o := weigh(stat.Mean(logs, nil), scatter/float64(len(logs))+drift); o < 1 {
-		return o
-	}
-	const small = 0.15 // of the sends: what gets less can't slow a fleet so
-	if since(r.tried, r.now-turn, nil) < small*since(r.flow, r.now-turn, nil) && r.now > r.suspect {
-		return 1
+	if o := weigh(stat.Mean(logs, nil), part, scatter/float64(len(logs))+drift); o < 1 && r.now > r.suspect {
+		return o, o
+	} else if o >= 1 {
+		r.suspect = r.now + 4*turn
 	}
-	r.suspect = r.now + 4*turn
 	with, without := before.turns(r.suspect-10*turn, turn, Second, r.crowd)
-	if r.now-r.staged < 2*turn || len(with) < 10 || len(without) < 10 {
-		return 1
+	if r.now-r.staged < 2*turn || min(len(with), len(without)) < 10 {
+		return 1, unsure
 	}
 	variance := scatter * (1/float64(len(with)) + 1/float64(len(without)))
-	return weigh(stat.Mean(with, nil)-stat.Mean(without, nil), variance)
+	o := weigh(stat.Mean(with, nil)-stat.Mean(without, nil), max(0.3, part), variance)
+	return o, o
 }
 
 // tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build
@@ -638,8 +640,8 @@
 	all, usual := words(fresh, warm), words(peers, warm)
 	add(1, drag(all, usual, apart, 0.75), drag(all, usual, apart, 0.5)) // most to convict, half to doubt
 	if r.news.Phase == OnTrial {
-		o := r.shared(before)
-		add(1, o, o)
+		guilt, doubt := r.shared(before)
+		add(1, guilt, doubt)
 	}
 	if logs := now.slowness(r.now-2*Second, r.crowd); r.news.Phase != Released || len(logs) < 10 ||
 		stat.Mean(logs, nil) < math.Ln2 {
