--- a/logic/logic.go
+++ b/logic/logic.go
@@ -553,33 +553,31 @@
 // while the earlier build's answers are slower than before the trial.
 func (r *Router) resting() bool { return r.now < r.suspect && r.now/turn%2 == 1 }
 
-// shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: whether the
-// earlier build is slower than before by as much as one that would double all times, had it all the traffic,
-// should be at its present share; and then by turns with copies against turns without.
-func (r *Router) shared(before *book) (guilt, doubt float64) {
-	const scatter, drift = 0.6, 0.02 // variance of a send, and of two times
-	const small, unsure = 0.1, 3.0   // a share of the sends that tells nothing; what holds a release for a while
-	tried, logs := since(r.tried, r.now-turn, nil), before.slowness(r.now-turn, r.crowd)
-	part := tried / max(1, tried+since(r.flow, r.now-turn, nil))
-	if len(logs) < 10 || part < small && r.now > r.suspect {
-		return 1, 1
-	}
-	weigh := func(gap, part, variance float64) float64 {
-		more := math.Log1p(part)
+// shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no,
+// where the earlier build is as quick as before; else by turns with copies against turns without.
+func (r *Router) shared(before *book) float64 {
+	const more, scatter, drift = 0.3, 0.6, 0.02 // log of a third slower; variance of a send, and of two times
+	weigh := func(gap, variance float64) float64 {
 		return math.Exp(max(-5, min(5, (gap*more-more*more/2)/variance)))
 	}
-	if o := weigh(stat.Mean(logs, nil), part, scatter/float64(len(logs))+drift); o < 1 && r.now > r.suspect {
-		return o, o
-	} else if o >= 1 {
-		r.suspect = r.now + 4*turn
+	logs := before.slowness(r.now-turn, r.crowd)
+	if len(logs) < 10 {
+		return 1
+	}
+	if o := weigh(stat.Mean(logs, nil), scatter/float64(len(logs))+drift); o < 1 {
+		return o
+	}
+	const small = 0.15 // of the sends: what gets less can't slow a fleet so
+	if since(r.tried, r.now-turn, nil) < small*since(r.flow, r.now-turn, nil) && r.now > r.suspect {
+		return 1
 	}
+	r.suspect = r.now + 4*turn
 	with, without := before.turns(r.suspect-10*turn, turn, Second, r.crowd)
-	if r.now-r.staged < 2*turn || min(len(with), len(without)) < 10 {
-		return 1, unsure
+	if r.now-r.staged < 2*turn || len(with) < 10 || len(without) < 10 {
+		return 1
 	}
 	variance := scatter * (1/float64(len(with)) + 1/float64(len(without)))
-	o := weigh(stat.Mean(with, nil)-stat.Mean(without, nil), max(0.3, part), variance)
-	return o, o
+	return weigh(stat.Mean(with, nil)-stat.Mean(without, nil), variance)
 }
 
 // tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build
@@ -595,9 +593,9 @@
 // sends at the build before it: failures over all and by category, the desk's counts, slowness, complaints.
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
-	const floor = 0.01          // least usual failure share; a stray error in the first copies is no proof
-	const lasting = 10 * Second // of double times after a release: what slows from outside is shorter
-	const worst = 0.25          // of the hosts, left out to convict: sick ones don't speak for a build
+	const floor = 0.01                      // least usual failure share; a stray error in the first copies is no proof
+	const slower, lasting = 0.4, 8 * Second // log of times half as long again, after a release; see there
+	const worst = 0.25                      // of the hosts, left out to convict: sick ones don't speak for a build
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
 		return 1, nil
@@ -640,11 +638,11 @@
 	all, usual := words(fresh, warm), words(peers, warm)
 	add(1, drag(all, usual, apart, 0.75), drag(all, usual, apart, 0.5)) // most to convict, half to doubt
 	if r.news.Phase == OnTrial {
-		guilt, doubt := r.shared(before)
-		add(1, guilt, doubt)
+		o := r.shared(before)
+		add(1, o, o)
 	}
-	if logs := now.slowness(r.now-2*Second, r.crowd); r.news.Phase != Released || len(logs) < 10 ||
-		stat.Mean(logs, nil) < math.Ln2 {
+	logs := now.slowness(r.now-2*Second, r.crowd)
+	if r.news.Phase != Released || len(logs) < 10 || stat.Mean(logs, nil) < slower {
 		r.quickAt = r.now
 	} else if r.now-r.quickAt > lasting {
 		add(1, math.Inf(1), 1)
