--- a/logic/logic.go
+++ b/logic/logic.go
@@ -234,12 +234,10 @@
 
 // probation picks a sick host whose turn for a trickle has come; only repeatable tasks go there.
 func (r *Router) probation(t *Task) *Host {
-	const turn = Second // slow enough to cost little, fast enough to find a recovery
-	if t.Category.Repeat != Retriable {
-		return nil
-	}
+	const wait = Second // slow enough to cost little, fast enough to find a recovery
 	return r.pick(t, func(h *Host) bool {
-		return r.old(h) && h.health == sick && len(h.open) == 0 && since(h.sent, r.now-turn, nil) == 0
+		return h.health == sick && t.Category.Repeat == Retriable && r.old(h) &&
+			len(h.open) == 0 && since(h.sent, r.now-wait, nil) == 0
 	})
 }
 
@@ -249,8 +247,8 @@
 	const early, last = 0.7, 1.0    // of what earlier hosts get: the trial's own load must prove nothing
 	const cleared, guilty = 0.1, 30 // odds: a category with an effect is risked no more than judging it takes
 	const lately = 2 * Second
-	if !r.heard || r.news.Phase != OnTrial || r.ballot.voice == Back || r.resting() ||
-		!r.room(r.news.Build, t.Category) {
+	n := r.news
+	if !r.heard || n.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(n.Build, t.Category) {
 		return nil
 	}
 	runs := func(h *Host) bool { return h.Build == r.news.Build && h.Standing == Serving }
@@ -594,7 +592,7 @@
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
 	const floor = 0.01                      // least usual failure share; a stray error in the first copies is no proof
-	const slower, lasting = 0.4, 8 * Second // log of times half as long again, after a release; see there
+	const slower, lasting = 0.4, 8 * Second // log of times half as long again; slowness from outside is shorter
 	const worst = 0.25                      // of the hosts, left out to convict: sick ones don't speak for a build
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
@@ -641,8 +639,8 @@
 		o := r.shared(before)
 		add(1, o, o)
 	}
-	logs := now.slowness(r.now-2*Second, r.crowd)
-	if r.news.Phase != Released || len(logs) < 10 || stat.Mean(logs, nil) < slower {
+	logs := now.slowness(r.now-3*Second, r.crowd)
+	if r.news.Phase != Released || len(logs) < 5 || stat.Mean(logs, nil) < slower {
 		r.quickAt = r.now
 	} else if r.now-r.quickAt > lasting {
 		add(1, math.Inf(1), 1)
