--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 		r.hands.WatchHosts()
 	case a.send == nil:
 		r.crowding()
+		r.hangs()
 		r.judge()
 		r.hands.WakeUp(judgeEvery, a)
 	case a.send.fate == Out && !a.send.began:
@@ -62,25 +63,6 @@
 
 // ---- Builds, exposure and cold hosts ----
 
-// trial tells whether a build is on trial for this router, and at which stage and cap. One that is not
-// announced yet counts as in the first stage.
-func (r *Router) trial(build int) (on bool, stage int, share float64) {
-	switch {
-	case !r.heard || build < r.news.Build || build == r.news.Build && r.news.Phase == Released:
-		return false, 0, 1
-	case build > r.news.Build && len(r.desk.Caps) > 0:
-		return true, 0, r.desk.Caps[0]
-	case build > r.news.Build || r.news.Phase != OnTrial:
-		return true, 0, 0
-	}
-	return true, r.news.Stage, r.news.Cap
-}
-
-func (r *Router) old(h *Host) bool {
-	on, _, _ := r.trial(h.Build)
-	return !on && h.Standing == Serving
-}
-
 // room tells whether one more send of the category at a build on trial keeps the rule on exposure. Sends are
 // counted over a little more than the window and tasks over a little less. What an earlier life of this
 // router sent is unknown after a start, so nothing goes there until one window has passed.
@@ -170,8 +152,9 @@
 	return pace / n
 }
 
-// pick draws two hosts at random among those nearby and two among the rest, and takes the less busy one; a far
-// one only if the promised time is so much likelier to be kept there that it is worth the price.
+// pick draws two hosts at random among those nearby and two among the rest, and takes the less busy one; a
+// far one only if the promised time is so much likelier to be kept there that it is worth half the price: a
+// miss costs windows, classes and tails beyond its earnings.
 func (r *Router) pick(t *Task, fits func(*Host) bool) (best *Host) {
 	here, there := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
 	busy := func(h *Host) float64 { return r.pace(h) * (1 + r.held(h)) }
@@ -184,7 +167,7 @@
 		return best
 	}
 	a, b := draw(here), draw(there)
-	price := r.limits.CrossPrice * float64(25+r.chance(50)) / 100 // a band, or all would cross at once; a miss costs more than its earnings
+	price := r.limits.CrossPrice * float64(25+r.chance(50)) / 100 // in a band, lest all cross at once
 	if a == nil || b != nil && r.misses(t, near)-r.misses(t, far) > price {
 		return b
 	}
@@ -319,8 +302,9 @@
 	r.send(t, h, original)
 }
 
-// jam is how often longer than usual the hosts nearby or the rest take to answer: what is out at those that work,
-// by the rate at which work was answered. As what is out drains it falls, and hosts are never left idle.
+// jam is how often longer than usual the hosts nearby or the rest take to answer: what is out at those that
+// work, by the rate at which work was answered. As what is out drains it falls, and hosts are never left
+// idle.
 func (r *Router) jam(side int) float64 {
 	const over = 2 * Second
 	if out, hosts := r.out(side); out*float64(r.routers) > hosts {
@@ -334,8 +318,8 @@
 	return math.Exp(-float64(t.Category.Promised) / max(1, r.jam(side)*float64(t.Category.mid)))
 }
 
-// tooLate turns a task back early when the hosts around the one chosen would answer it too late. The less a task
-// earns for its time, the sooner, and sooner yet beyond its customer's share.
+// tooLate turns a task back early when the hosts around the one chosen would answer it too late. The less a
+// task earns for its time, the sooner, and sooner yet beyond its customer's share.
 func (r *Router) tooLate(t *Task, h *Host) bool {
 	const high, low, beyond = 1.0, 0.8, 0.5 // of the promised time: the tail is longer than the mean
 	limit, better := high, 0
@@ -353,11 +337,6 @@
 	return r.jam(r.side(h))*float64(t.Category.mid) > limit*float64(min(t.Category.Promised, t.Patience))
 }
 
-// mayRepeat tells whether a second run of the task does no harm anywhere.
-func (c *Category) mayRepeat() bool {
-	return c.Repeat == Retriable || c.Repeat == Fingerprinted && c.Group == Everywhere
-}
-
 func (r *Router) send(t *Task, h *Host, how role) {
 	s := r.enlist(t, h, how)
 	within := t.at + t.Patience - r.now
@@ -379,7 +358,8 @@
 func (r *Router) spare() bool {
 	const over, few, oneIn = 5 * Second, 4, 8 // one for every eight tasks taken lately, and a few
 	const full = 3                            // times longer than usual: for want of hosts, not by bad luck
-	return min(r.jam(near), r.jam(far)) < full && since(r.extra, r.now-over, nil) < few+since(r.taken, r.now-over, nil)/oneIn
+	owed := few + since(r.taken, r.now-over, nil)/oneIn
+	return min(r.jam(near), r.jam(far)) < full && since(r.extra, r.now-over, nil) < owed
 }
 
 // more sends a task once more where that is allowed, affordable and can still be in time. What follows a lone
@@ -498,6 +478,10 @@
 		b := r.book(s.build)
 		b.samples = keep(b.samples, x, 1500) // a trial's worth, or some ten seconds of a busy router's sends
 	}
+	r.move(h, in)
+}
+
+func (r *Router) move(h *Host, in healthInput) {
 	for _, row := range healths {
 		if row.state == h.health && row.input == in {
 			if h.health == sick {
@@ -509,6 +493,20 @@
 	}
 }
 
+// hangs finds hosts that take tasks and answer none before these run out of time. When half the fleet or
+// more does so none is to blame.
+func (r *Router) hangs() {
+	const few, times = 2, 4 // two sends, four usual times of a host that holds as much
+	hung := func(h *Host) bool { return h.health == fit && h.stuck(r.now, times) >= few }
+	if fit := func(h *Host) bool { return h.health == fit }; 2*r.count(hung) < r.count(fit) {
+		for _, h := range r.hosts {
+			if hung(h) {
+				r.move(h, fails)
+			}
+		}
+	}
+}
+
 // well tells whether a send ended as one at a host that works.
 func (x sample) well() bool { return x.fate == Finished && x.strain < 3 }
 
@@ -569,12 +567,15 @@
 	if since(r.tried, r.now-turn, nil) < small*since(r.flow, r.now-turn, nil) && r.now > r.suspect {
 		return 1
 	}
+	if r.now > r.suspect {
+		r.doubted = r.now
+	}
 	r.suspect = r.now + 4*turn
-	with, without := before.turns(r.suspect-10*turn, turn, Second, r.crowd)
-	if r.now-r.staged < 2*turn || len(with) < 10 || len(without) < 10 {
+	with, without := before.turns(r.doubted, turn, Second, r.crowd)
+	if r.now-r.doubted < 3*turn || len(with) < 10 || len(without) < 10 {
 		return 1
 	}
-	variance := scatter * (1/float64(len(with)) + 1/float64(len(without)))
+	variance := scatter*(1/float64(len(with))+1/float64(len(without))) + drift
 	return weigh(stat.Mean(with, nil)-stat.Mean(without, nil), variance)
 }
 
@@ -591,9 +592,9 @@
 // sends at the build before it: failures over all and by category, the desk's counts, slowness, complaints.
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
-	const floor = 0.01                      // least usual failure share; a stray error in the first copies is no proof
+	const floor = 0.01                      // least usual failure share: a stray error is no proof
 	const slower, lasting = 0.4, 8 * Second // log of times half as long again; slowness from outside is shorter
-	const worst = 0.25                      // of the hosts, left out to convict: sick ones don't speak for a build
+	const worst = 0.25                      // of the hosts, left out to convict: sick ones do not speak
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
 		return 1, nil
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -377,3 +377,40 @@
 	i, _ := slices.BinarySearchFunc(b.samples, from, func(x sample, at Time) int { return int(x.at - at) })
 	return b.samples[i:]
 }
+
+// trial tells whether a build is on trial for this router, and at which stage and cap. One that is not
+// announced yet counts as in the first stage.
+func (r *Router) trial(build int) (on bool, stage int, share float64) {
+	switch {
+	case !r.heard || build < r.news.Build || build == r.news.Build && r.news.Phase == Released:
+		return false, 0, 1
+	case build > r.news.Build && len(r.desk.Caps) > 0:
+		return true, 0, r.desk.Caps[0]
+	case build > r.news.Build || r.news.Phase != OnTrial:
+		return true, 0, 0
+	}
+	return true, r.news.Stage, r.news.Cap
+}
+
+// old tells hosts that serve with a build that is not on trial.
+func (r *Router) old(h *Host) bool {
+	on, _, _ := r.trial(h.Build)
+	return !on && h.Standing == Serving
+}
+
+// mayRepeat tells whether a second run of the task does no harm anywhere.
+func (c *Category) mayRepeat() bool {
+	return c.Repeat == Retriable || c.Repeat == Fingerprinted && c.Group == Everywhere
+}
+
+// stuck counts a host's sends that have been out for longer than so many usual times with no answer since
+// from it.
+func (h *Host) stuck(now Time, times float64) (n int) {
+	for _, s := range h.open {
+		late := float64(now-s.at) > times*float64(s.Task.Category.mid)*(1+s.held)
+		if late && (len(h.past) == 0 || h.past[len(h.past)-1].at < s.at) {
+			n++
+		}
+	}
+	return n
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -324,6 +324,7 @@
 	staged  Time     // when the present stage was first told
 	suspect Time     // until when copies rest every other turn
 	quickAt Time     // when the fleet was last about as quick as before the trial
+	doubted Time     // since when copies rest every other turn
 	taken   []moment
 	tried   []moment
 	flow    []moment
