--- a/logic/logic.go
+++ b/logic/logic.go
@@ -496,13 +496,12 @@
 // hangs finds hosts that take tasks and answer none before these run out of time. When half the fleet or
 // more does so none is to blame.
 func (r *Router) hangs() {
-	const few, times = 2, 4 // two sends, four usual times of a host that holds as much
+	const few, times = 3, 4 // three sends, four usual times of a host that holds as much
 	hung := func(h *Host) bool { return h.health == fit && h.stuck(r.now, times) >= few }
-	if fit := func(h *Host) bool { return h.health == fit }; 2*r.count(hung) < r.count(fit) {
-		for _, h := range r.hosts {
-			if hung(h) {
-				r.move(h, fails)
-			}
+	blame := 2*r.count(hung) < r.count(func(h *Host) bool { return h.health == fit })
+	for _, h := range r.hosts {
+		if blame && hung(h) {
+			r.move(h, fails)
 		}
 	}
 }
@@ -552,7 +551,8 @@
 // shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no,
 // where the earlier build is as quick as before; else by turns with copies against turns without.
 func (r *Router) shared(before *book) float64 {
-	const more, scatter, drift = 0.3, 0.6, 0.02 // log of a third slower; variance of a send, and of two times
+	const more, scatter = 0.3, 0.6 // log of a third slower; variance of a send
+	const drift, sway = 0.02, 0.05 // variance of two times, and of two turns, less the more turns there are
 	weigh := func(gap, variance float64) float64 {
 		return math.Exp(max(-5, min(5, (gap*more-more*more/2)/variance)))
 	}
@@ -575,17 +575,17 @@
 	if r.now-r.doubted < 3*turn || len(with) < 10 || len(without) < 10 {
 		return 1
 	}
-	variance := scatter*(1/float64(len(with))+1/float64(len(without))) + drift
+	variance := scatter*(1/float64(len(with))+1/float64(len(without))) +
+		sway*float64(2*turn)/float64(r.now-r.doubted)
 	return weigh(stat.Mean(with, nil)-stat.Mean(without, nil), variance)
 }
 
 // tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build
 // apart, so only what it counted at several counts, and only failures far beyond what one sick host brings.
 func (r *Router) tallied(c *Category, now, before int) float64 {
-	const floor, few = 0.1, 4
-	bad, n, hosts := r.counted(c, now, few)
-	was, of, _ := r.counted(c, before, few)
-	return spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), 0.25, 0.6), hosts)
+	bad, n, hosts := r.counted(c, now, 4) // hosts; their least usual failure share is a tenth
+	was, of, _ := r.counted(c, before, 4)
+	return spoken(odds(bad, n, max(0.1, (was+0.5)/(of+1)), 0.25, 0.6), hosts)
 }
 
 // weight is the evidence that the newest build is bad, in odds; 1 is none. Copies are judged against the
@@ -604,8 +604,7 @@
 	if r.news.Phase == Released { // what was kept of the earlier build, against what happens now
 		fresh, peers = now.since(r.now-10*Second), before.samples
 	}
-	// A cold host is slow and times out, whatever its build: only its errors count.
-	warm := func(s sample) bool { return s.age > r.limits.Cold }
+	warm := func(s sample) bool { return s.age > r.limits.Cold } // a cold host is slow whatever its build
 	sum, shares := 0.0, 0.0
 	add := func(share, guilt, doubt float64) {
 		sum, shares, doubts = sum+share*guilt, shares+share, append(doubts, doubt)
@@ -629,8 +628,7 @@
 	test(1, nil, small, large, 0.6)
 	for _, c := range r.cats {
 		c.odds = test(1/float64(len(r.cats)), c, whole, 0.7)
-		if r.desk.Counted > 0 && c.Repeat != Retriable {
-			o := r.tallied(c, now.build, before.build)
+		if o := r.tallied(c, now.build, before.build); r.desk.Counted > 0 && c.Repeat != Retriable {
 			add(1/float64(len(r.cats)), o, o)
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -309,3 +309,65 @@
 	f.serve(100, f.quote, func(*Send) Fate { return Errored })
 	require.Less(t, len(f.sent), 130)
 }
+
+func TestAHungHostIsLeftBeforeItsSendsRunOutOfTime(t *testing.T) {
+	f, list := begin(t, nil)
+	f.serve(100, f.quote, fine)
+	for range 60 {
+		n := len(f.sent)
+		for range 24 { // a busy moment: each host gets its share
+			f.take(f.payment)
+		}
+		f.pass(Second / 20)
+		for _, s := range f.sent[n:] {
+			if s.Host.ID != 1 {
+				f.end(s, Finished, Second/20)
+			}
+		}
+	}
+	require.Equal(t, sick, list[0].Host.health)
+	require.Less(t, len(list[0].Host.open), 60) // of 1440 tasks; an even share would be 240
+}
+
+func TestTwoSidesAreWeighedByTheirJamAndThePrice(t *testing.T) {
+	f, list := begin(t, func(p *Place) { p.Limits.CrossPrice = 0.1 })
+	for i := range 3 {
+		list[i].Location = f.there
+	}
+	f.r.Listed(f.now, list, true)
+	f.serve(100, f.quote, fine)
+	for _, s := range f.sent {
+		require.Same(t, f.here, s.Host.Location) // it is quiet: nothing is worth the price
+	}
+	var crossed bool
+	for range 60 { // the hosts here answer no more, those there do
+		task := f.take(f.quote)
+		f.pass(Second / 50)
+		for _, s := range task.Sends {
+			if s.Host.Location == f.there {
+				crossed = true
+				f.end(s, Finished, Second/20)
+			}
+		}
+	}
+	require.True(t, crossed)
+}
+
+func TestABuildThatSlowsEveryHostIsSentBackAfterItsRelease(t *testing.T) {
+	f, list := begin(t, nil)
+	f.trial(2, 1)
+	f.serve(60, f.quote, fine)
+	f.r.Told(f.now, News{Build: 2, Stage: 2, Phase: Released, Cap: 1})
+	for i := range list[:6] {
+		list[i].Build = 2
+	}
+	f.r.Listed(f.now, list, true)
+	for range 250 {
+		task := f.take(f.quote)
+		f.pass(Second / 10)
+		for _, s := range task.Sends {
+			f.end(s, Finished, Second/10) // twice as long as before the trial
+		}
+	}
+	require.Contains(t, f.votes, Back)
+}
