--- a/logic/logic.go
+++ b/logic/logic.go
@@ -548,6 +548,9 @@
 // while the earlier build's answers are slower than before the trial.
 func (r *Router) resting() bool { return r.now < r.suspect && r.now/turn%2 == 1 }
 
+// unsure tells that too few turns have passed; no release is voted for meanwhile.
+func (r *Router) unsure() bool { return r.now < r.suspect && r.now-r.doubted < 3*turn }
+
 // shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no,
 // where the earlier build is as quick as before; else by turns with copies against turns without.
 func (r *Router) shared(before *book) float64 {
@@ -572,7 +575,7 @@
 	}
 	r.suspect = r.now + 4*turn
 	with, without := before.turns(r.doubted, turn, Second, r.crowd)
-	if r.now-r.doubted < 3*turn || len(with) < 10 || len(without) < 10 {
+	if r.unsure() || len(with) < 10 || len(without) < 10 {
 		return 1
 	}
 	variance := scatter*(1/float64(len(with))+1/float64(len(without))) +
@@ -708,16 +711,17 @@
 	limit, worst := doubt, math.Inf(1)
 	if r.news.Stage+1 >= len(r.desk.Caps) {
 		waited := float64(max(0, r.now-r.staged-r.desk.LeastTime)) / float64(Second)
-		limit, worst = min(1, sure+softer*waited), 1+bear*waited
+		if limit, worst = min(1, sure+softer*waited), 1+bear*waited; r.unsure() {
+			worst = 0
+		}
 	}
 	switch {
 	case r.news.Phase == Released && w > lateAlarm, r.news.Phase == OnTrial && w > alarm:
 		return Back
-	case r.news.Phase == Released:
-		return NoVote
-	case r.desk.Control == Clock && w > doubt:
+	case r.news.Phase == OnTrial && r.desk.Control == Clock && w > doubt:
 		return Hold
-	case r.desk.Control != Clock && w < limit && len(doubts) > 0 && slices.Max(doubts) <= worst:
+	case r.news.Phase == Released || r.desk.Control == Clock || len(doubts) == 0:
+	case w < limit && slices.Max(doubts) <= worst:
 		return On
 	}
 	return NoVote
