--- a/logic/logic.go
+++ b/logic/logic.go
@@ -204,7 +204,11 @@
 			newest = max(newest, h.Build)
 		}
 	}
-	for level := range 3 {
+	level := 0
+	if 2*r.count(func(h *Host) bool { return r.old(h) && h.Build == newest }) < r.count(r.old) {
+		level = 1 // too few to carry all, as when a list that is down has not told of the rest
+	}
+	for ; level < 3; level++ {
 		if h := r.pick(t, func(h *Host) bool {
 			return h.Build >= sticks && (level == 2 && r.room(h.Build, t.Category) ||
 				level < 2 && r.old(h) && h.health != sick && (level == 1 || h.Build == newest))
@@ -234,8 +238,7 @@
 	if !r.heard || n.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(n.Build, t.Category) {
 		return nil
 	}
-	runs := func(h *Host) bool { return h.Build == r.news.Build && h.Standing == Serving }
-	on, warm := runs, func(h *Host) bool { return runs(h) && r.now-h.Up > r.limits.Cold }
+	on, warm := r.runs, func(h *Host) bool { return r.runs(h) && r.now-h.Up > r.limits.Cold }
 	part := early
 	if r.news.Stage+1 >= len(r.desk.Caps) { // before a release the build is tried in earnest, cold hosts too
 		part = last
@@ -268,16 +271,6 @@
 	{risky, ends, over, (*Router).rest},
 }
 
-// Take accepts a task; from here on it is owed one final answer.
-func (r *Router) Take(now Time, t *Task) {
-	r.now, t.at = now, now
-	r.taken = keep(r.taken, moment{at: now, cat: t.Category}, 8192) // more than any window holds
-	if c := t.Customer; c != nil {
-		c.taken = keep(c.taken, moment{at: now, cat: t.Category}, 4096)
-	}
-	r.step(t, arrives)
-}
-
 // place sends a new task on its ordinary way: to the earlier build, with a copy or a lone copy on trial.
 func (r *Router) place(t *Task) {
 	h := r.onTrial(t)
@@ -548,8 +541,10 @@
 // while the earlier build's answers are slower than before the trial.
 func (r *Router) resting() bool { return r.now < r.suspect && r.now/turn%2 == 1 }
 
-// unsure tells that too few turns have passed; no release is voted for meanwhile.
-func (r *Router) unsure() bool { return r.now < r.suspect && r.now-r.doubted < 3*turn }
+// unsure tells that too few turns have passed, or too few hosts are known to carry all after a release.
+func (r *Router) unsure() bool {
+	return r.now < r.suspect && r.now-r.doubted < 3*turn || 2*r.count(r.runs) < r.count(r.old)
+}
 
 // shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no,
 // where the earlier build is as quick as before; else by turns with copies against turns without.
@@ -575,7 +570,7 @@
 	}
 	r.suspect = r.now + 4*turn
 	with, without := before.turns(r.doubted, turn, Second, r.crowd)
-	if r.unsure() || len(with) < 10 || len(without) < 10 {
+	if r.now-r.doubted < 3*turn || len(with) < 10 || len(without) < 10 {
 		return 1
 	}
 	variance := scatter*(1/float64(len(with))+1/float64(len(without))) +
@@ -690,10 +685,9 @@
 	if n.Answer == Unasked || n.Answer == Counted {
 		r.turnTo(n)
 	}
-	switch n.Answer {
-	case Counted:
+	if n.Answer == Counted {
 		r.poll(counts, 0)
-	case Moot, Refused, Unclear:
+	} else if n.Answer != Unasked {
 		r.poll(drops, 0)
 	}
 }
@@ -709,18 +703,17 @@
 	}
 	w, doubts := r.weight()
 	limit, worst := doubt, math.Inf(1)
-	if r.news.Stage+1 >= len(r.desk.Caps) {
+	final := r.news.Stage+1 >= len(r.desk.Caps)
+	if final {
 		waited := float64(max(0, r.now-r.staged-r.desk.LeastTime)) / float64(Second)
-		if limit, worst = min(1, sure+softer*waited), 1+bear*waited; r.unsure() {
-			worst = 0
-		}
+		limit, worst = min(1, sure+softer*waited), 1+bear*waited
 	}
 	switch {
 	case r.news.Phase == Released && w > lateAlarm, r.news.Phase == OnTrial && w > alarm:
 		return Back
 	case r.news.Phase == OnTrial && r.desk.Control == Clock && w > doubt:
 		return Hold
-	case r.news.Phase == Released || r.desk.Control == Clock || len(doubts) == 0:
+	case r.news.Phase == Released || r.desk.Control == Clock || len(doubts) == 0 || final && r.unsure():
 	case w < limit && slices.Max(doubts) <= worst:
 		return On
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -371,3 +371,19 @@
 	}
 	require.Contains(t, f.votes, Back)
 }
+
+func TestFewKnownHostsOfANewBuildAreNeitherReleasedNorRushed(t *testing.T) {
+	f, list := begin(t, nil) // one host of build 2, six of build 1, and the list tells no more
+	f.trial(2, 1)
+	for range 60 {
+		f.serve(1, f.quote, fine)
+		f.serve(1, f.order, fine)
+		f.serve(1, f.payment, fine)
+	}
+	require.NotContains(t, f.votes, On)
+	f.r.Told(f.now, News{Build: 2, Stage: 2, Phase: Released, Cap: 1})
+	f.sent = nil
+	f.serve(100, f.quote, fine)
+	require.Less(t, f.toBuild(2), 50)
+	require.Positive(t, len(list[0].Host.sent))
+}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -414,3 +414,16 @@
 	}
 	return n
 }
+
+// Take accepts a task; from here on it is owed one final answer. More tasks are kept than any window holds.
+func (r *Router) Take(now Time, t *Task) {
+	r.now, t.at = now, now
+	r.taken = keep(r.taken, moment{at: now, cat: t.Category}, 8192)
+	if c := t.Customer; c != nil {
+		c.taken = keep(c.taken, moment{at: now, cat: t.Category}, 4096)
+	}
+	r.step(t, arrives)
+}
+
+// runs tells hosts that serve with the newest build told.
+func (r *Router) runs(h *Host) bool { return h.Build == r.news.Build && h.Standing == Serving }
