--- a/logic/logic.go
+++ b/logic/logic.go
@@ -247,7 +247,7 @@
 	}
 	peers, hosts := r.count(r.old), r.count(on)
 	fair := part * since(r.flow, r.now-lately, nil) / max(1, peers) * hosts
-	if since(r.tried, r.now-lately, nil)+1 > max(1, fair) ||
+	if since(r.tried, r.now-lately, nil)+1 > max(2, fair) ||
 		t.Category.Repeat != Retriable && (t.Category.odds < cleared || t.Category.odds > guilty) {
 		return nil
 	}
