--- a/logic/logic.go
+++ b/logic/logic.go
@@ -233,7 +233,7 @@
 func (r *Router) onTrial(t *Task) *Host {
 	const early, last = 0.7, 1.0    // of what earlier hosts get: the trial's own load must prove nothing
 	const cleared, guilty = 0.1, 30 // odds: a category with an effect is risked no more than judging it takes
-	const lately = 2 * Second
+	const lately, least = 2 * Second, 2 // a short while, and copies in it that even the first stage gets
 	n := r.news
 	if !r.heard || n.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(n.Build, t.Category) {
 		return nil
@@ -247,7 +247,7 @@
 	}
 	peers, hosts := r.count(r.old), r.count(on)
 	fair := part * since(r.flow, r.now-lately, nil) / max(1, peers) * hosts
-	if since(r.tried, r.now-lately, nil)+1 > max(2, fair) ||
+	if since(r.tried, r.now-lately, nil)+1 > max(least, fair) ||
 		t.Category.Repeat != Retriable && (t.Category.odds < cleared || t.Category.odds > guilty) {
 		return nil
 	}
