--- a/logic/logic.go
+++ b/logic/logic.go
@@ -232,7 +232,7 @@
 // go there only after the guarded stages, and only until they have been judged.
 func (r *Router) onTrial(t *Task) *Host {
 	const early, last = 0.7, 1.0        // of what earlier hosts get: the trial's own load must prove nothing
-	const cleared, guilty = 0.1, 30     // odds: a category with an effect is risked no more than judging it takes
+	const cleared, guilty = 0.1, 30     // odds: an effect is risked no more than judging its category takes
 	const lately, least = 2 * Second, 2 // a short while, and copies in it that even the first stage gets
 	n := r.news
 	if !r.heard || n.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(n.Build, t.Category) {
