Vote notes reuse the weight just worked out; unread fields go

The evidence was weighed a second time for each vote's note. Three private fields were never read, and the samples since a moment were found by a scan beside the search that was there.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -662,7 +662,7 @@
 	{asked, drops, quiet, false},
 }
 
-func (r *Router) poll(in ballotInput, voice Voice) {
+func (r *Router) poll(in ballotInput, voice Voice, w float64, doubts []float64) {
 	for _, row := range ballots {
 		if row.state != r.ballot.state || row.input != in {
 			continue
@@ -671,9 +671,8 @@
 		if row.cast {
 			r.ballot.voice, r.ballot.at = voice, r.now
 			r.hands.Vote(r.news.Build, r.news.Stage, voice)
-			w, parts := r.weight()
 			r.hands.Note(fmt.Sprintf("votes %d on build %d in stage %d: odds of bad %.2g, mean of %.2g",
-				voice, r.news.Build, r.news.Stage, w, parts))
+				voice, r.news.Build, r.news.Stage, w, doubts))
 		}
 		return
 	}
@@ -686,22 +685,22 @@
 		r.turnTo(n)
 	}
 	if n.Answer == Counted {
-		r.poll(counts, 0)
+		r.poll(counts, 0, 0, nil)
 	} else if n.Answer != Unasked {
-		r.poll(drops, 0)
+		r.poll(drops, 0, 0, nil)
 	}
 }
 
 // verdict turns the weight of the evidence into a vote. A move that exposes little needs no proof, as sends
 // at the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
-func (r *Router) verdict() Voice {
+func (r *Router) verdict() (voice Voice, w float64, doubts []float64) {
 	const alarm, lateAlarm = 8.0, 30.0 // one good build in so many, at the most, is sent back by chance
 	const doubt, sure = 4.0, 0.3       // on in a stage unless in doubt; release when fairly sure
 	const softer, bear = 0.02, 0.5     // a second of waiting costs so much of that, and of the worst test
 	if !r.heard || r.news.Build == 0 || r.news.Phase == GoingBack || r.news.Phase == Withdrawn {
-		return NoVote
+		return NoVote, w, doubts
 	}
-	w, doubts := r.weight()
+	w, doubts = r.weight()
 	limit, worst := doubt, math.Inf(1)
 	final := r.news.Stage+1 >= len(r.desk.Caps)
 	if final {
@@ -710,24 +709,24 @@
 	}
 	switch {
 	case r.news.Phase == Released && w > lateAlarm, r.news.Phase == OnTrial && w > alarm:
-		return Back
+		return Back, w, doubts
 	case r.news.Phase == OnTrial && r.desk.Control == Clock && w > doubt:
-		return Hold
+		return Hold, w, doubts
 	case r.news.Phase == Released || r.desk.Control == Clock || len(doubts) == 0 || final && r.unsure():
 	case w < limit && slices.Max(doubts) <= worst:
-		return On
+		return On, w, doubts
 	}
-	return NoVote
+	return NoVote, w, doubts
 }
 
 func (r *Router) judge() {
-	voice := r.verdict()
+	voice, w, doubts := r.verdict()
 	if r.ballot.state == asked && r.now-r.ballot.at > r.desk.VoteTimeout+Second/2 {
-		r.poll(silent, 0)
+		r.poll(silent, 0, 0, nil)
 	}
 	const pause = Second // before a vote that did not count is cast again: the desk is not flooded
 	if voice != r.ballot.voice && (voice != NoVote || r.ballot.state == stands) || voice != NoVote &&
 		(r.ballot.state == quiet && r.now-r.ballot.at > pause || r.now-r.ballot.at > r.desk.VoteLife*7/10) {
-		r.poll(wants, voice)
+		r.poll(wants, voice, w, doubts)
 	}
 }
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -271,8 +271,8 @@
 // slowness is the log of how slow the earlier build's answers since from are against the time before the
 // trial, and their number.
 func (b *book) slowness(from Time, crowd float64) (logs []float64) {
-	for _, x := range b.samples {
-		if x.at > from && x.cat.calm > 0 {
+	for _, x := range b.since(from + 1) {
+		if x.cat.calm > 0 {
 			logs = append(logs, x.logPace(crowd))
 		}
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -119,14 +119,13 @@
 	Task *Task
 	Host *Host
 
-	fate   Fate
-	at     Time
-	build  int
-	up     Time
-	held   float64
-	role   role
-	began  bool
-	within Time
+	fate  Fate
+	at    Time
+	build int
+	up    Time
+	held  float64
+	role  role
+	began bool
 }
 
 // Fate is how a send ended.
@@ -275,7 +274,6 @@
 	host          *Host
 	cat           *Category
 	fate          Fate
-	role          role
 	held, strain  float64
 	pace          float64 // strain, less what the host's other tasks added
 }
@@ -294,10 +292,9 @@
 }
 
 type ballot struct {
-	state        ballotState
-	build, stage int
-	voice        Voice
-	at           Time
+	state ballotState
+	voice Voice
+	at    Time
 }
 
 // Router is one instance's mind; it shares nothing with others.
