A cold host's budget holds for a large fleet: routers take turns below one send each

Guards too against many routers coming back at once; a router that is nearly alone warms hosts no faster.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -70,7 +70,8 @@
 		customers: map[string]*logic.Customer{}, tasks: map[string]*logic.Task{},
 		ids: map[*logic.Task]string{}, ended: map[*logic.Task]int{}, alarms: map[int64]*logic.Alarm{}}
 	p := l.Params
-	place := logic.Place{Seed: l.Prng, Routers: int(p.Int("Balancers")), Location: s.location(p["MyZone"])}
+	place := logic.Place{Seed: l.Prng, Routers: int(p.Int("Balancers")), Rank: int(p.Int("Rank")),
+		Location: s.location(p["MyZone"])}
 	for i := range int(p.Int("Categories.count")) {
 		at := fmt.Sprintf("Categories.%d.", i)
 		c := &logic.Category{Promised: span(p.Int(at + "AimUs")), Earnings: p.Float(at + "Importance"),
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,7 +14,7 @@
 
 // NewRouter starts a router that knows nothing but its place.
 func NewRouter(now Time, p Place, hands Hands) *Router {
-	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers),
+	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers), rank: p.Rank,
 		location: p.Location, cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{},
 		crowd: 0.3} // until there are samples: a fleet that is neither idle nor full
 	for _, c := range r.cats {
@@ -82,19 +82,20 @@
 	return tried+1 <= r.desk.Free+share*taken
 }
 
-// mayWarm keeps a cold host from being pushed over, by this router's share alone: it gets no more than a
-// part of what the rule lets a host of its present strength have, in units of what hosts get now on average;
-// those that left meanwhile count, or a lone newcomer would be due all their work.
+// mayWarm keeps a cold host from being pushed over by all routers together: this one sends no more than its
+// part of what the rule lets a host of its present strength have, in units of what hosts get now on average.
+// Where that is less than one send, routers take turns by their rank, on a clock that all share without a word.
 func (r *Router) mayWarm(h *Host) bool {
 	const part = 0.6            // of the budget; the rest is for uneven routers, heavy tasks and bursts
 	const flowOver = 4 * Second // long enough to even out bursts
 	if h.Up == 0 || r.now-h.Up >= r.limits.Cold {
 		return true
 	}
-	rate := since(r.flow, r.now-flowOver, nil) / float64(flowOver) / max(1, r.largest(flowOver))
 	strength := r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, r.now-h.Up))/float64(r.limits.Cold)
-	budget := part * r.limits.Tip * strength * float64(r.limits.TipFor) * rate
-	return since(h.sent, r.now-r.limits.TipFor, nil)+1 <= max(1, budget)
+	budget := part * r.limits.Tip * strength * float64(r.limits.TipFor) * r.rate(flowOver)
+	turn := int(r.now/r.limits.TipFor)*(1+r.routers/2) + int(h.ID)%r.routers + r.rank
+	mine := float64(turn%r.routers) < budget*float64(r.routers)
+	return mine && since(h.sent, r.now-r.limits.TipFor, nil)+1 <= max(1, budget)
 }
 
 // ---- Choosing a host ----
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -126,6 +126,27 @@
 	require.Less(t, n, 10)
 }
 
+func TestManyRoutersTogetherDoNotPushAColdHostOver(t *testing.T) {
+	n := 0
+	for rank := range 60 { // each serves ten tasks a second of a fleet where that is far over a cold host's due
+		f, list := begin(t, func(p *Place) { p.Routers, p.Rank = 60, rank })
+		f.serve(80, f.quote, fine)
+		list[0].Up = f.now
+		f.r.Listed(f.now, list, true)
+		f.sent = nil
+		for range 10 { // one window of the rule
+			f.serve(2, f.quote, fine)
+		}
+		for _, s := range f.sent {
+			if s.Host == list[0].Host {
+				n++
+			}
+		}
+	}
+	require.Positive(t, n)
+	require.Less(t, n, 60*3*2) // of 60 routers' 20 sends a second over 6 hosts: 200, times 0.3 to 0.44, times 3
+}
+
 func TestSendsOnTrialKeepTheCapAndTheGuard(t *testing.T) {
 	f, _ := begin(t, nil)
 	f.trial(0, 0.1)
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -83,6 +83,9 @@
 	if h.Up != l.Up || h.Build != l.Build { // another process: what the last one did says nothing of it
 		h.past, h.health, h.load = nil, fit, nil
 	}
+	if h.Standing == Serving && l.Standing != Serving {
+		h.left = r.now
+	}
 	h.Location, h.Cell, h.Standing, h.Build, h.Size, h.Up = l.Location, l.Cell, l.Standing, l.Build, l.Size, l.Up
 }
 
@@ -232,16 +235,20 @@
 	return shares, strains
 }
 
-// largest is how many hosts with a send in a span the build with most such hosts has.
-func (r *Router) largest(over Time) (most float64) {
-	of := map[int]float64{}
-	for _, h := range r.hosts {
-		if since(h.sent, r.now-over, nil) > 0 {
-			of[h.Build]++
-			most = max(most, of[h.Build])
+// rate is how many sends a host of the build with most hosts gets from this router, worked out once for each
+// moment. Hosts that left within the span count, or a lone newcomer would be due all their work.
+func (r *Router) rate(over Time) float64 {
+	if r.usual.at != r.now {
+		of, most := map[int]float64{}, 1.0
+		for _, h := range r.hosts {
+			if h.Standing == Serving || r.now-h.left < over {
+				of[h.Build]++
+				most = max(most, of[h.Build])
+			}
 		}
+		r.usual.at, r.usual.rate = r.now, since(r.flow, r.now-over, nil)/float64(over)/most
 	}
-	return most
+	return r.usual.rate
 }
 
 // parted are the hosts nearby and the rest, as far as they fit.
--- a/logic/types.go
+++ b/logic/types.go
@@ -74,6 +74,7 @@
 	listed bool
 	health health
 	until  Time // when its health is looked at anew
+	left   Time // when it was told to drain or to be gone
 	open   []*Send
 	sent   []moment
 	past   []sample
@@ -262,6 +263,7 @@
 type Place struct {
 	Seed       uint64
 	Routers    int
+	Rank       int // this router's number among them, from 0
 	Location   *Location
 	Categories []*Category
 	Limits     Limits
@@ -305,6 +307,7 @@
 	now      Time
 	born     Time
 	routers  int
+	rank     int
 	location *Location
 	cats     []*Category
 	limits   Limits
@@ -316,6 +319,10 @@
 		at   Time
 		done float64
 	}
+	usual struct { // sends that a host gets from this router, as of a moment
+		at   Time
+		rate float64
+	}
 	crowd   float64  // what each task that a host holds adds to the time of the next, as a share
 	recent  []sample // finished sends at earlier builds
 	staged  Time     // when the present stage was first told
