Copies below what a router can count go by chance, with a least of all routers together

Cause: every router sent two copies in two seconds at the least, 70 to 130 routers at one or two hosts, all at the moment of the news; the trial hosts jammed and good builds went back or were held. The readers of tables move to samples.go.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -5,7 +5,6 @@
 package logic
 
 import (
-	"fmt"
 	"math"
 	"slices"
 
@@ -235,6 +234,7 @@
 	const early, last = 0.7, 1.0        // of what earlier hosts get: the trial's own load must prove nothing
 	const cleared, guilty = 0.1, 30     // odds: an effect is risked no more than judging its category takes
 	const lately, least = 2 * Second, 2 // a short while, and copies in it that even the first stage gets
+	const all = 8                       // of those from all routers: a part of what one host can do
 	n := r.news
 	if !r.heard || n.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(n.Build, t.Category) {
 		return nil
@@ -247,9 +247,13 @@
 		on = warm
 	}
 	peers, hosts := r.count(r.old), r.count(on)
-	fair := part * since(r.flow, r.now-lately, nil) / max(1, peers) * hosts
-	if since(r.tried, r.now-lately, nil)+1 > max(least, fair) ||
-		t.Category.Repeat != Retriable && (t.Category.odds < cleared || t.Category.odds > guilty) {
+	due := max(min(least, all/float64(r.routers)), part*since(r.flow, r.now-lately, nil)/max(1, peers)*hosts)
+	if due >= least {
+		due -= since(r.tried, r.now-lately, nil) + 1
+	} else { // less than a router can count: by chance, lest all of them send at once
+		due = due/max(1, since(r.taken, r.now-lately, nil)) - float64(r.chance(1000))/1000
+	}
+	if due < 0 || t.Category.Repeat != Retriable && (t.Category.odds < cleared || t.Category.odds > guilty) {
 		return nil
 	}
 	return r.pick(t, func(h *Host) bool { // a sick one is judged too, but not at the cost of an effect
@@ -307,11 +311,6 @@
 	return 0
 }
 
-// misses is the chance that a task breaks its promised time on a side, as if answers took exponential times.
-func (r *Router) misses(t *Task, side int) float64 {
-	return math.Exp(-float64(t.Category.Promised) / max(1, r.jam(side)*float64(t.Category.mid)))
-}
-
 // tooLate turns a task back early when the hosts around the one chosen would answer it too late. The less a
 // task earns for its time, the sooner, and sooner yet beyond its customer's share.
 func (r *Router) tooLate(t *Task, h *Host) bool {
@@ -475,18 +474,6 @@
 	r.move(h, in)
 }
 
-func (r *Router) move(h *Host, in healthInput) {
-	for _, row := range healths {
-		if row.state == h.health && row.input == in {
-			if h.health == sick {
-				h.past = h.past[len(h.past)-1:]
-			}
-			h.health, h.until = row.next, r.now+row.rest
-			return
-		}
-	}
-}
-
 // hangs finds hosts that take tasks and answer none before these run out of time. When half the fleet or
 // more does so none is to blame.
 func (r *Router) hangs() {
@@ -663,35 +650,6 @@
 	{asked, drops, quiet, false},
 }
 
-func (r *Router) poll(in ballotInput, voice Voice, w float64, doubts []float64) {
-	for _, row := range ballots {
-		if row.state != r.ballot.state || row.input != in {
-			continue
-		}
-		r.ballot.state = row.next
-		if row.cast {
-			r.ballot.voice, r.ballot.at = voice, r.now
-			r.hands.Vote(r.news.Build, r.news.Stage, voice)
-			r.hands.Note(fmt.Sprintf("votes %d on build %d in stage %d: odds of bad %.2g, mean of %.2g",
-				voice, r.news.Build, r.news.Stage, w, doubts))
-		}
-		return
-	}
-}
-
-// Told takes in the desk's news, or its answer to a vote.
-func (r *Router) Told(now Time, n News) {
-	r.now = now
-	if n.Answer == Unasked || n.Answer == Counted {
-		r.turnTo(n)
-	}
-	if n.Answer == Counted {
-		r.poll(counts, 0, 0, nil)
-	} else if n.Answer != Unasked {
-		r.poll(drops, 0, 0, nil)
-	}
-}
-
 // verdict turns the weight of the evidence into a vote. A move that exposes little needs no proof, as sends
 // at the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
 func (r *Router) verdict() (voice Voice, w float64, doubts []float64) {
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -434,3 +435,51 @@
 
 // runs tells hosts that serve with the newest build told.
 func (r *Router) runs(h *Host) bool { return h.Build == r.news.Build && h.Standing == Serving }
+
+// misses is the chance that a task breaks its promised time on a side, as if answers took exponential times.
+func (r *Router) misses(t *Task, side int) float64 {
+	return math.Exp(-float64(t.Category.Promised) / max(1, r.jam(side)*float64(t.Category.mid)))
+}
+
+// move reads the table of healths.
+func (r *Router) move(h *Host, in healthInput) {
+	for _, row := range healths {
+		if row.state == h.health && row.input == in {
+			if h.health == sick {
+				h.past = h.past[len(h.past)-1:]
+			}
+			h.health, h.until = row.next, r.now+row.rest
+			return
+		}
+	}
+}
+
+// poll reads the table of ballots.
+func (r *Router) poll(in ballotInput, voice Voice, w float64, doubts []float64) {
+	for _, row := range ballots {
+		if row.state != r.ballot.state || row.input != in {
+			continue
+		}
+		r.ballot.state = row.next
+		if row.cast {
+			r.ballot.voice, r.ballot.at = voice, r.now
+			r.hands.Vote(r.news.Build, r.news.Stage, voice)
+			r.hands.Note(fmt.Sprintf("votes %d on build %d in stage %d: odds of bad %.2g, mean of %.2g",
+				voice, r.news.Build, r.news.Stage, w, doubts))
+		}
+		return
+	}
+}
+
+// Told takes in the desk's news, or its answer to a vote.
+func (r *Router) Told(now Time, n News) {
+	r.now = now
+	if n.Answer == Unasked || n.Answer == Counted {
+		r.turnTo(n)
+	}
+	if n.Answer == Counted {
+		r.poll(counts, 0, 0, nil)
+	} else if n.Answer != Unasked {
+		r.poll(drops, 0, 0, nil)
+	}
+}
