Judge by the desk's counts where they see more than a router; few vote at a time; a quorum shares the proof

Cause: with 'any' control each of 50 to 130 routers judged by its own few copies, and the unluckiest sent good builds back. Where the desk samples a larger share than a router sees, its counts are judged, so that all come to one verdict; three routers at a time vote, by rank and clock. Where many votes must agree each owes less proof (the root of their number). The overall test goes category by category, as retries changed the mix; copies of many routers stay nearby, as a slow link spoke against a build. Should also catch floods of votes; may be late where the desk's counts stop.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -62,6 +62,7 @@
 	alarms    map[int64]*logic.Alarm
 	marks     int64
 	fields    []string
+	counted   logic.Time // the span of the desk's counts
 }
 
 func take(instance int, out *wire.Writer, now logic.Time, l wire.Launch) *seat {
@@ -98,6 +99,7 @@
 	}
 	place.Desk = logic.Desk{
 		Control:  map[string]logic.Control{"share": logic.ShareOfVotes, "timer": logic.Clock}[p["Extra.Control"]],
+		ToMoveOn: int(p.Int("Extra.AyesNeeded")), ToAbort: int(p.Int("Extra.ToAbort")),
 		VoteLife: span(p.Int("Extra.VoteStandsUs")), VoteTimeout: span(p.Int("Extra.CallTimeoutUs")),
 		VotesASecond: p.Float("Extra.VoteAllowance"), Window: span(p.Int("Extra.ExposureWindowUs")),
 		Free: p.Float("Extra.Free"), ByCategory: p["Extra.Counts"] == "class",
@@ -106,7 +108,7 @@
 		Complaints: p.Float("Extra.ComplaintShare"), LeastTime: span(p.Int("Extra.BakeUs")),
 		ClockTime: span(p.Int("Extra.StageTimeUs"))}
 	if p.Int("Extra.MetricsPeriodUs") > 0 {
-		place.Desk.Counted = p.Float("Extra.SampledShare")
+		place.Desk.Counted, s.counted = p.Float("Extra.SampledShare"), span(p.Int("Extra.MetricsPeriodUs"))
 	}
 	for i := range p.List("Extra.StageCap") {
 		place.Desk.Caps = append(place.Desk.Caps, wire.Params{"": p.List("Extra.StageCap")[i]}.Float(""))
@@ -172,7 +174,7 @@
 	case wire.CountsByBuild:
 		if c := s.cats[e.Qos]; c != nil {
 			s.router.Counted(now, logic.Count{Build: e.Image, Category: c, Bad: e.Bad, Samples: e.Samples,
-				Mean: span(e.RttUs), Age: span(e.AgeUs)})
+				Mean: span(e.RttUs), Age: span(e.AgeUs), Over: s.counted})
 		}
 	case wire.BadAnswer:
 		if h, c := s.hosts[e.Host], s.cats[e.Qos]; h != nil && c != nil {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	case a.list:
 		r.hands.WatchHosts()
 	case a.send == nil:
-		r.crowding()
+		r.crowding(40, 6, 0.02, 1.5) // few sends make no line, and one very long task says little
 		r.hangs()
 		r.judge()
 		r.hands.WakeUp(judgeEvery, a)
@@ -83,7 +83,7 @@
 
 // mayWarm keeps a cold host from being pushed over by all routers together: this one sends no more than its
 // part of what the rule lets a host of its present strength have, in units of what hosts get now on average.
-// Where that is less than one send, routers take turns by their rank, on a clock that all share without a word.
+// Where that is less than one send, routers take turns by rank, on a clock that all share without a word.
 func (r *Router) mayWarm(h *Host) bool {
 	const part = 0.6            // of the budget; the rest is for uneven routers, heavy tasks and bursts
 	const flowOver = 4 * Second // long enough to even out bursts
@@ -99,19 +99,6 @@
 
 // ---- Choosing a host ----
 
-// crowding fits, by a line through the last finished sends, how much each task that a host holds adds to the
-// time of the next: near 1 where hosts work on one task at a time, and little where they have cores to spare.
-func (r *Router) crowding() {
-	if len(r.recent) < 40 { // too few for a line
-		return
-	}
-	held, strains := laden(r.recent, 6) // one very long task says little
-	if _, spread := stat.MeanStdDev(held, nil); spread > 0 {
-		base, more := stat.LinearRegression(held, strains, nil, false)
-		r.crowd = min(1.5, max(0.02, more/max(0.1, base)))
-	}
-}
-
 // slowest is the time that one in twenty of the category's finished sends takes longer than.
 func (c *Category) slowest() Time {
 	if len(c.took) < 40 {
@@ -133,31 +120,13 @@
 	return own * float64(r.routers)
 }
 
-// pace is how slow a host's last sends were against what is usual, given what it held; sends still out count
-// with their age. Few sends prove little.
-func (r *Router) pace(h *Host) float64 {
-	const doubt, old = 8.0, 10 * Second // as many usual sends are assumed; older ones are forgotten
-	pace, n := doubt, doubt
-	for _, p := range h.past {
-		if r.now-p.at < old {
-			pace, n = pace+p.pace, n+1
-		}
-	}
-	for _, s := range h.open {
-		usual := float64(s.Task.Category.mid) * (1 + r.crowd*s.held)
-		if x := float64(r.now-s.at) / usual; x > 2 {
-			pace, n = pace+x, n+1
-		}
-	}
-	return pace / n
-}
-
 // pick draws two hosts at random among those nearby and two among the rest, and takes the less busy one; a
 // far one only if the promised time is so much likelier to be kept there that it is worth half the price: a
 // miss costs windows, classes and tails beyond its earnings.
 func (r *Router) pick(t *Task, fits func(*Host) bool) (best *Host) {
 	here, there := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
-	busy := func(h *Host) float64 { return r.pace(h) * (1 + r.held(h)) }
+	const doubt, old = 8, 10 * Second // few sends prove little, and hosts change
+	busy := func(h *Host) float64 { return r.pace(h, doubt, old) * (1 + r.held(h)) }
 	draw := func(from []*Host) (best *Host) {
 		for range min(2, len(from)) {
 			if h := from[r.chance(len(from))]; best == nil || busy(h) < busy(best) {
@@ -235,13 +204,14 @@
 	const cleared, guilty = 0.1, 30     // odds: an effect is risked no more than judging its category takes
 	const lately, least = 2 * Second, 2 // a short while, and copies in it that even the first stage gets
 	const all = 8                       // of those from all routers: a part of what one host can do
+	const few = 4                       // routers; more leave it to those nearby, or the way there is judged
 	n := r.news
 	if !r.heard || n.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(n.Build, t.Category) {
 		return nil
 	}
 	on, warm := r.runs, func(h *Host) bool { return r.runs(h) && r.now-h.Up > r.limits.Cold }
 	part := early
-	if r.news.Stage+1 >= len(r.desk.Caps) { // before a release the build is tried in earnest, cold hosts too
+	if r.news.Stage+1 >= len(r.desk.Caps) && !r.byDesk() { // before a release it is tried in earnest, cold too
 		part = last
 	} else if r.count(warm) > 0 { // they tell most, and what fails late fails there first
 		on = warm
@@ -257,7 +227,8 @@
 		return nil
 	}
 	return r.pick(t, func(h *Host) bool { // a sick one is judged too, but not at the cost of an effect
-		return on(h) && (h.health != sick || t.Category.Repeat == Retriable)
+		return on(h) && (r.routers <= few || r.side(h) == near) &&
+			(h.health != sick || t.Category.Repeat == Retriable)
 	})
 }
 
@@ -510,17 +481,23 @@
 // drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow
 // again or more against no slower, host by host, since hosts differ among themselves however many sends they
 // answer. apart is the variance between two sets of hosts, at two times, whose builds are equally good;
-// share is how many of the hosts must be at least that slow.
-func drag(now, before []word, apart, share float64) float64 {
-	const differ, scatter = 0.2, 0.8 // variance is the square of the one, and the other by number of sends
-	const more = 0.6                 // log of 1.8: a fleet that is half full feels that
-	fresh, a := paces(now, 3, differ, scatter)
-	usual, b := paces(before, 3, differ, scatter)
+// share is how many of the hosts must be at least that slow. Where the desk's counts see more, they speak.
+func (r *Router) drag(now, before []word, counts [2][]Count, apart, share float64) float64 {
+	const differ, scatter = 0.2, 0.8              // variance: the one's square, and the other by sends
+	const more = 0.6                              // log of 1.8: a fleet that is half full feels that
+	fresh, a := paces(now, differ, scatter, 3, 1) // or 1, with so many hosts that none is met three times
+	usual, b := paces(before, differ, scatter, 3, 1)
+	hosts := len(fresh)
+	if r.byDesk() {
+		gap, n, of, on := countedGap(counts[0], counts[1])
+		fresh, usual, hosts = []float64{gap}, []float64{0}, on
+		a, b = differ*differ/max(1, float64(on))+scatter/max(0.01, n), scatter/max(0.01, of)
+	}
 	if min(len(fresh), len(usual)) == 0 {
 		return 1
 	}
 	gap := above(fresh, share) - above(usual, 0.5)
-	return spoken(math.Exp(max(-6, min(6, (gap*more-more*more/2)/(a+b+apart)))), len(fresh))
+	return spoken(ratio(gap, more, a+b+apart, 6), hosts)
 }
 
 const turn = 3 * Second // long enough for a fleet to show that copies rest, short beside a slowdown
@@ -539,14 +516,11 @@
 func (r *Router) shared(before *book) float64 {
 	const more, scatter = 0.3, 0.6 // log of a third slower; variance of a send
 	const drift, sway = 0.02, 0.05 // variance of two times, and of two turns, less the more turns there are
-	weigh := func(gap, variance float64) float64 {
-		return math.Exp(max(-5, min(5, (gap*more-more*more/2)/variance)))
-	}
 	logs := before.slowness(r.now-turn, r.crowd)
 	if len(logs) < 10 {
 		return 1
 	}
-	if o := weigh(stat.Mean(logs, nil), scatter/float64(len(logs))+drift); o < 1 {
+	if o := ratio(stat.Mean(logs, nil), more, scatter/float64(len(logs))+drift, 5); o < 1 {
 		return o
 	}
 	const small = 0.15 // of the sends: what gets less can't slow a fleet so
@@ -563,15 +537,39 @@
 	}
 	variance := scatter*(1/float64(len(with))+1/float64(len(without))) +
 		sway*float64(2*turn)/float64(r.now-r.doubted)
-	return weigh(stat.Mean(with, nil)-stat.Mean(without, nil), variance)
+	return ratio(stat.Mean(with, nil)-stat.Mean(without, nil), more, variance, 5)
 }
 
 // tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build
 // apart, so only what it counted at several counts, and only failures far beyond what one sick host brings.
 func (r *Router) tallied(c *Category, now, before int) float64 {
-	bad, n, hosts := r.counted(c, now, 4) // hosts; their least usual failure share is a tenth
-	was, of, _ := r.counted(c, before, 4)
-	return spoken(odds(bad, n, max(0.1, (was+0.5)/(of+1)), 0.25, 0.6), hosts)
+	several := func(x Count) bool { return x.Build == now && x.hosts >= 4 } // a tenth fail at the least
+	bad, n, hosts := counted(pickCounts(r.counts, several), c)
+	was, of, _ := counted(pickCounts(r.counts, func(x Count) bool { return x.Build == before }), c)
+	return spoken(odds([]part{{bad, n, max(0.1, (was+0.5)/(of+1))}}, 0.25, 0.6), hosts)
+}
+
+// byDesk tells whether the desk counts a larger share of all sends than a router sees of them: then its
+// counts are judged in place of the router's own samples, and routers come to the same verdict.
+func (r *Router) byDesk() bool { return r.desk.Counted*float64(r.routers) > 1 }
+
+// heardOf are the desk's counts to be judged, of the build and of the one before it, over the same time.
+// Those of a time when no host of the build was warm, or few were after a release, speak of the cold.
+func (r *Router) heardOf(now, before int) (of [2][]Count) {
+	need, from := 0.01, Time(math.MaxInt64)
+	if r.news.Phase == Released {
+		need, from = 0.75, r.now-10*Second
+	}
+	of[0] = pickCounts(r.counts, func(x Count) bool {
+		return x.Build == now && x.warm >= need && (r.news.Phase != Released || x.at > from)
+	})
+	if r.news.Phase != Released && len(of[0]) > 0 {
+		from = of[0][0].at
+	}
+	of[1] = pickCounts(r.counts, func(x Count) bool {
+		return x.Build == before && (r.news.Phase == Released || x.at >= from)
+	})
+	return of
 }
 
 // weight is the evidence that the newest build is bad, in odds; 1 is none. Copies are judged against the
@@ -591,17 +589,26 @@
 		fresh, peers = now.since(r.now-10*Second), before.samples
 	}
 	warm := func(s sample) bool { return s.age > r.limits.Cold } // a cold host is slow whatever its build
+	counts := r.heardOf(now.build, before.build)
 	sum, shares := 0.0, 0.0
 	add := func(share, guilt, doubt float64) {
 		sum, shares, doubts = sum+share*guilt, shares+share, append(doubts, doubt)
 	}
-	test := func(share float64, c *Category, gaps ...float64) (doubt float64) {
-		is := func(s sample) bool { return (c == nil || s.cat == c) && (warm(s) || s.fate != NoAnswer) }
-		fresh, usual := words(fresh, is), words(peers, is)
+	test := func(share float64, cats []*Category, gaps ...float64) (doubt float64) {
 		weigh := func(but float64) float64 {
-			bad, n, hosts := tally(fresh, but)
-			was, of, _ := tally(usual, but)
-			return spoken(odds(bad, n, max(floor, (was+0.5)/(of+1)), gaps...), hosts)
+			var parts []part
+			most := 0
+			for _, c := range cats { // each against its own originals: the mix may change
+				is := func(s sample) bool { return s.cat == c && (warm(s) || s.fate != NoAnswer) }
+				bad, n, hosts := tally(words(fresh, is), but)
+				was, of, _ := tally(words(peers, is), but)
+				if r.byDesk() {
+					bad, n, hosts = counted(counts[0], c)
+					was, of, _ = counted(counts[1], c)
+				}
+				parts, most = append(parts, part{bad, n, max(floor, (was+0.5)/(of+1))}), max(most, hosts)
+			}
+			return spoken(odds(parts, gaps...), most)
 		}
 		doubt = weigh(0)
 		add(share, weigh(worst), doubt)
@@ -611,15 +618,16 @@
 	if r.news.Phase == Released { // the earlier machines are gone: a small harm is cheaper than going back
 		small, large, whole, apart = 0.3, 0.5, 0.5, 0.16 // and a jam after the release is not the build's
 	}
-	test(1, nil, small, large, 0.6)
+	test(1, r.cats, small, large, 0.6)
 	for _, c := range r.cats {
-		c.odds = test(1/float64(len(r.cats)), c, whole, 0.7)
-		if o := r.tallied(c, now.build, before.build); r.desk.Counted > 0 && c.Repeat != Retriable {
+		c.odds = test(1/float64(len(r.cats)), []*Category{c}, whole, 0.7)
+		if o := r.tallied(c, now.build, before.build); r.desk.Counted > 0 && !r.byDesk() && c.Repeat != Retriable {
 			add(1/float64(len(r.cats)), o, o)
 		}
 	}
 	all, usual := words(fresh, warm), words(peers, warm)
-	add(1, drag(all, usual, apart, 0.75), drag(all, usual, apart, 0.5)) // most to convict, half to doubt
+	most, half := r.drag(all, usual, counts, apart, 0.75), r.drag(all, usual, counts, apart, 0.5)
+	add(1, most, half) // most hosts to convict, half to doubt
 	if r.news.Phase == OnTrial {
 		o := r.shared(before)
 		add(1, o, o)
@@ -632,7 +640,7 @@
 	}
 	if r.desk.Complaints > 0 {
 		usual := max(0.003, before.complaints()/float64(len(before.samples)+1)) // now and then a client errs
-		o := odds(now.complaints(), float64(len(now.samples)), usual, 0.01, 0.04)
+		o := odds([]part{{now.complaints(), float64(len(now.samples)), usual}}, 0.01, 0.04)
 		add(1, o, o)
 	}
 	return sum / shares, doubts
@@ -650,6 +658,10 @@
 	{asked, drops, quiet, false},
 }
 
+// lean is how much of the proof each of so many routers owes whose votes must agree: their evidence is their
+// own, so what all of them hold together weighs far more than what one does.
+func lean(votes int) float64 { return 1 / math.Sqrt(float64(max(1, votes-1))) }
+
 // verdict turns the weight of the evidence into a vote. A move that exposes little needs no proof, as sends
 // at the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
 func (r *Router) verdict() (voice Voice, w float64, doubts []float64) {
@@ -664,10 +676,11 @@
 	final := r.news.Stage+1 >= len(r.desk.Caps)
 	if final {
 		waited := float64(max(0, r.now-r.staged-r.desk.LeastTime)) / float64(Second)
-		limit, worst = min(1, sure+softer*waited), 1+bear*waited
+		limit, worst = min(1, math.Pow(sure, lean(r.desk.ToMoveOn))+softer*waited), 1+bear*waited
 	}
 	switch {
-	case r.news.Phase == Released && w > lateAlarm, r.news.Phase == OnTrial && w > alarm:
+	case r.news.Phase == Released && w > math.Pow(lateAlarm, lean(r.desk.ToAbort)),
+		r.news.Phase == OnTrial && w > math.Pow(alarm, lean(r.desk.ToAbort)):
 		return Back, w, doubts
 	case r.news.Phase == OnTrial && r.desk.Control == Clock && w > doubt:
 		return Hold, w, doubts
@@ -678,11 +691,22 @@
 	return NoVote, w, doubts
 }
 
+// speaks tells whether it is this router's turn to vote. Where one vote decides, a few at a time do, by rank
+// and a shared clock: were all to look, the one with the oddest luck would decide, and the desk be flooded.
+func (r *Router) speaks() bool {
+	const few, stretch = 3, 4 * Second // a vote that is lost is no harm, nor is a router that is down
+	turn := r.rank + r.routers - int(r.now/stretch)*few%r.routers
+	return r.desk.Control != AnyVote || r.routers <= few || turn%r.routers < few
+}
+
 func (r *Router) judge() {
 	voice, w, doubts := r.verdict()
 	if r.ballot.state == asked && r.now-r.ballot.at > r.desk.VoteTimeout+Second/2 {
 		r.poll(silent, 0, 0, nil)
 	}
+	if !r.speaks() {
+		return
+	}
 	const pause = Second // before a vote that did not count is cast again: the desk is not flooded
 	if voice != r.ballot.voice && (voice != NoVote || r.ballot.state == stands) || voice != NoVote &&
 		(r.ballot.state == quiet && r.now-r.ballot.at > pause || r.now-r.ballot.at > r.desk.VoteLife*7/10) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -231,6 +231,56 @@
 	require.NotContains(t, f.votes, Back)
 }
 
+func TestManyRoutersJudgeByTheDesksCountsAndAFewOfThemVote(t *testing.T) {
+	votes := map[Voice]int{}
+	story := func(rank, bad int, took Time) {
+		f, list := begin(t, func(p *Place) { p.Routers, p.Rank, p.Desk.Counted = 40, rank, 0.2 })
+		f.r.Listed(f.now, append(list, f.host(10, 2), f.host(11, 2), f.host(12, 2)), true)
+		f.trial(2, 1)
+		for range 4 { // seconds; this router's own copies all fail, the desk's counts say what the story says
+			f.serve(20, f.quote, func(s *Send) Fate {
+				if s.build == 2 && len(s.Host.past) < 3 {
+					return Errored
+				}
+				return Finished
+			})
+			for _, c := range []*Category{f.quote, f.order, f.payment} {
+				f.r.Counted(f.now, Count{Build: 1, Category: c, Bad: 1, Samples: 60, Mean: Second / 20})
+				f.r.Counted(f.now, Count{Build: 2, Category: c, Bad: bad, Samples: 60, Mean: took})
+			}
+		}
+		for _, v := range f.votes {
+			votes[v]++
+		}
+	}
+	for rank := range 40 {
+		story(rank, 20, Second/20)
+	}
+	require.Positive(t, votes[Back])
+	require.Less(t, votes[Back], 40)
+	clear(votes)
+	for rank := range 40 {
+		story(rank, 1, Second/20)
+	}
+	require.Zero(t, votes[Back])
+	clear(votes)
+	for rank := range 40 {
+		story(rank, 1, Second/5)
+	}
+	require.Zero(t, votes[On])
+}
+
+func TestManyAgreeingRoutersOweLessProofEach(t *testing.T) {
+	require.Equal(t, 1.0, lean(1))
+	require.Equal(t, 1.0, lean(2))
+	require.Less(t, lean(20), lean(5))
+}
+
+func TestAnotherMixOfTasksIsNoFailure(t *testing.T) {
+	mixed := odds([]part{{90, 100, 0.9}, {1, 900, 0.01}}, 0.1, 0.3)
+	require.Less(t, mixed, 1.0)
+}
+
 func TestComplaintsHoldABuildThatAnswersWrongly(t *testing.T) {
 	f, _ := begin(t, func(p *Place) { p.Desk.Complaints = 0.3 })
 	f.trial(2, 1)
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -9,6 +9,8 @@
 	"hash/fnv"
 	"math"
 	"slices"
+
+	"gonum.org/v1/gonum/stat"
 )
 
 // chance draws evenly from 0 up to n.
@@ -64,7 +66,7 @@
 		if i < 0 {
 			i, sums = len(sums), append(sums, word{host: s.host})
 		}
-		sums[i].n, sums[i].pace = sums[i].n+1, sums[i].pace+s.pace
+		sums[i].n, sums[i].slow = sums[i].n+1, sums[i].slow+math.Log(max(0.01, s.pace))
 		if s.fate != Finished {
 			sums[i].bad++
 		}
@@ -158,16 +160,49 @@
 	return last
 }
 
-// counted adds up what the desk counted of a category at a build while so many hosts or more ran it.
-func (r *Router) counted(c *Category, build, few int) (bad, n float64, hosts int) {
-	for _, x := range r.counts {
-		if x.Category == c && x.Build == build && x.hosts >= few {
+// pickCounts are the counts of a kind.
+func pickCounts(all []Count, of func(Count) bool) (some []Count) {
+	for _, x := range all {
+		if of(x) {
+			some = append(some, x)
+		}
+	}
+	return some
+}
+
+// counted adds up what the desk counted of a category, or of all.
+func counted(all []Count, c *Category) (bad, n float64, hosts int) {
+	for _, x := range all {
+		if c == nil || x.Category == c {
 			bad, n, hosts = bad+float64(x.Bad), n+float64(x.Samples), x.hosts
 		}
 	}
 	return bad, n, hosts
 }
 
+// countedGap is the log of how much longer the sends of one set of counts took than those of another, by
+// category, with the sends behind each side and the hosts of the first.
+func countedGap(now, before []Count) (gap, n, of float64, hosts int) {
+	type sum struct{ took, n float64 }
+	add := func(all []Count) map[*Category]sum {
+		sums := map[*Category]sum{}
+		for _, x := range all {
+			s, good := sums[x.Category], float64(x.Samples-x.Bad)
+			sums[x.Category] = sum{s.took + float64(x.Mean)*good, s.n + good}
+		}
+		return sums
+	}
+	a, b := add(now), add(before)
+	for _, x := range now {
+		if s, t := a[x.Category], b[x.Category]; s.n > 0 && t.n > 0 && s.took > 0 && t.took > 0 {
+			gap, n, of = gap+s.n*math.Log(s.took/s.n/(t.took/t.n)), n+s.n, of+t.n
+			a[x.Category] = sum{}
+		}
+		hosts = x.hosts
+	}
+	return gap / max(1, n), n, of, hosts
+}
+
 // answered is the work that a side answered in a span, in usual times; it is worked out once for each moment.
 func (r *Router) answered(over Time, side int) float64 {
 	if w := &r.work[side]; w.at != r.now {
@@ -191,22 +226,30 @@
 	return out, hosts
 }
 
-// odds weighs bad against n tries as signs that a build fails more than the usual share: the mean likelihood
-// ratio over a few sizes of the gap. Were the build good it would pass x with a chance of at most 1/x,
-// however often it is looked at, and a mean of such odds keeps that bound; so many looks and tests raise no
-// alarm.
-func odds(bad, n, usual float64, gaps ...float64) (mean float64) {
+// odds weighs bad against n tries, part by part, as signs that a build fails more than the usual share: the
+// mean likelihood ratio over a few sizes of the gap. Were the build good it would pass x with a chance of at
+// most 1/x, however often it is looked at, and a mean of such odds keeps that bound; so many looks and tests
+// raise no alarm.
+func odds(parts []part, gaps ...float64) (mean float64) {
 	for _, g := range gaps {
-		p := usual + g*(1-usual)
-		mean += math.Exp(min(50, bad*math.Log(p/usual)+(n-bad)*math.Log((1-p)/(1-usual)))) / float64(len(gaps))
+		sum := 0.0
+		for _, x := range parts {
+			p := x.usual + g*(1-x.usual)
+			sum += x.bad*math.Log(p/x.usual) + (x.n-x.bad)*math.Log((1-p)/(1-x.usual))
+		}
+		mean += math.Exp(min(50, sum)) / float64(len(gaps))
 	}
 	return mean
 }
 
 // tally adds up sends, failed ones, and hosts with any, over all but a share of the hosts: those with most
-// failures.
+// failures. One failure of a host is no sign that it differs from the rest.
 func tally(sums []word, but float64) (bad, n float64, hosts int) {
-	for _, x := range sums[:max(min(1, len(sums)), len(sums)-int(math.Ceil(but*float64(len(sums)))))] {
+	left := int(math.Ceil(but * float64(len(sums))))
+	for i, x := range sums {
+		if i > 0 && i >= len(sums)-left && x.bad > 1 {
+			continue
+		}
 		if bad, n = bad+x.bad, n+x.n; x.bad > 0 {
 			hosts++
 		}
@@ -214,13 +257,16 @@
 	return bad, n, hosts
 }
 
-// paces are the logs of how slow hosts with so many sends are, and the variance of their mean when hosts
-// differ by so much among themselves and sends scatter by so much.
-func paces(hosts []word, least, differ, scatter float64) (logs []float64, variance float64) {
-	for _, x := range hosts {
-		if x.n >= least {
-			logs, variance = append(logs, math.Log(x.pace/x.n)), variance+differ*differ+scatter/x.n
+// paces are the logs of how slow hosts are, and the variance of their mean when hosts differ by so much among
+// themselves and sends scatter by so much. Only hosts with the first of so many sends count, else the next.
+func paces(hosts []word, differ, scatter float64, least ...float64) (logs []float64, variance float64) {
+	for len(logs) == 0 && len(least) > 0 {
+		for _, x := range hosts {
+			if x.n >= least[0] {
+				logs, variance = append(logs, x.slow/x.n), variance+differ*differ+scatter/x.n
+			}
 		}
+		least = least[1:]
 	}
 	return logs, variance / max(1, float64(len(logs)*len(logs)))
 }
@@ -317,11 +363,19 @@
 // Began says that a send's answer has started to stream.
 func (r *Router) Began(now Time, s *Send) { r.now, s.began = now, true }
 
-// Counted takes in what the desk counted.
+// Counted takes in what the desk counted, with how many hosts ran the build and how many were warm by then.
 func (r *Router) Counted(now Time, c Count) {
-	r.now = now
-	c.hosts = int(r.count(func(h *Host) bool { return h.Build == c.Build && len(h.past) > 0 }))
-	r.counts = keep(r.counts, c, 100)
+	r.now, c.at = now, now
+	for _, h := range r.hosts {
+		if h.Build == c.Build && h.Standing == Serving {
+			c.hosts++
+			if now-c.Age-c.Over-h.Up > r.limits.Cold {
+				c.warm++
+			}
+		}
+	}
+	c.warm /= max(1, float64(c.hosts))
+	r.counts = keep(r.counts, c, 200)
 }
 
 // Complained takes in that a client found an answer wrong.
@@ -483,3 +537,40 @@
 		r.poll(drops, 0, 0, nil)
 	}
 }
+
+// crowding fits, by a line through the last finished sends, how much each task that a host holds adds to the
+// time of the next: near 1 where hosts work on one task at a time, and little where they have cores to spare.
+func (r *Router) crowding(least int, longest, low, high float64) {
+	if len(r.recent) < least {
+		return
+	}
+	held, strains := laden(r.recent, longest)
+	if _, spread := stat.MeanStdDev(held, nil); spread > 0 {
+		base, more := stat.LinearRegression(held, strains, nil, false)
+		r.crowd = min(high, max(low, more/max(0.1, base)))
+	}
+}
+
+// pace is how slow a host's last sends were against what is usual, given what it held; sends still out count
+// with their age. Few sends prove little: so many usual ones are assumed as doubt says, old ones forgotten.
+func (r *Router) pace(h *Host, doubt float64, old Time) float64 {
+	pace, n := doubt, doubt
+	for _, p := range h.past {
+		if r.now-p.at < old {
+			pace, n = pace+p.pace, n+1
+		}
+	}
+	for _, s := range h.open {
+		usual := float64(s.Task.Category.mid) * (1 + r.crowd*s.held)
+		if x := float64(r.now-s.at) / usual; x > 2 {
+			pace, n = pace+x, n+1
+		}
+	}
+	return pace / n
+}
+
+// ratio is the likelihood ratio of a gap that is as large as more against none, for a gap measured with some
+// variance; its log is at most as stated, for the model itself may be wrong.
+func ratio(gap, more, variance, most float64) float64 {
+	return math.Exp(max(-most, min(most, (gap*more-more*more/2)/variance)))
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -182,7 +182,11 @@
 	Mean         Time
 	Age          Time
 
-	hosts int // that ran the build and had answered when the count came
+	Over Time // the span that was counted
+
+	at    Time
+	hosts int     // that ran the build when the count came
+	warm  float64 // share of them that were warm when its span began
 }
 
 // Voice is what a vote says.
@@ -210,6 +214,8 @@
 	Caps         []float64 // by stage
 	LeastTime    Time      // of a stage
 	ClockTime    Time      // of a stage, under Clock
+	ToMoveOn     int       // votes that move a stage on
+	ToAbort      int       // votes that send a build back
 	VoteLife     Time
 	VoteTimeout  Time
 	VotesASecond float64 // from all routers together
@@ -428,5 +434,8 @@
 // word is what one host's samples say of its build.
 type word struct {
 	host         *Host
-	n, bad, pace float64
+	n, bad, slow float64 // slow sums up logs of paces
 }
+
+// part is how many tries of a kind went bad, and the share of them that usually does.
+type part struct{ bad, n, usual float64 }
