--- a/logic/logic.go
+++ b/logic/logic.go
@@ -273,13 +273,19 @@
 
 // jam is how often longer than usual the hosts nearby or the rest take to answer: what is out at those that
 // work, by the rate at which work was answered. As what is out drains it falls, and hosts are never left
-// idle.
+// idle. One of many routers has little out, by chance more or less: it takes the mean of the time in which so
+// many tasks are answered, and counts answers over longer.
 func (r *Router) jam(side int) float64 {
-	const over = 2 * Second
-	if out, hosts := r.out(side); out*float64(r.routers) > hosts {
-		return out * float64(min(over, r.now-r.born)) / max(1, r.answered(over, side))
-	}
-	return 0
+	const few, blink = 10, Second                          // answers to take the mean over, at the longest
+	const luck = 0.5                                       // spreads that what is out may be over its due
+	const short, long, enough = 2 * Second, 8 * Second, 20 // to count answers over
+	work, span := r.answered(side, short, long, enough)
+	out, hosts := r.out(side, min(blink, few*r.gap(few)))
+	out -= luck * math.Sqrt(out*(1-1/float64(r.routers)))
+	if out*float64(r.routers) <= hosts {
+		return 0
+	}
+	return out * float64(span) / work
 }
 
 // tooLate turns a task back early when the hosts around the one chosen would answer it too late. The less a
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -122,9 +122,14 @@
 	if load != nil {
 		s.Host.load, s.Host.loadAt = load, r.now
 	}
+	x := moment{at: r.now, cat: s.Task.Category, side: r.side(s.Host)}
 	if fate == Finished {
-		r.done = keep(r.done, moment{r.now, s.Task.Category, r.side(s.Host)}, 4096)
+		x.work = x.cat.mid
 	}
+	if s.Host.health == fit && r.old(s.Host) {
+		x.took = r.now - s.at
+	}
+	r.done = keep(r.done, x, 4096)
 }
 
 // sampled is what an ended send showed.
@@ -203,24 +208,58 @@
 	return gap / max(1, n), n, of, hosts
 }
 
-// answered is the work that a side answered in a span, in usual times; it is worked out once for each moment.
-func (r *Router) answered(over Time, side int) float64 {
-	if w := &r.work[side]; w.at != r.now {
-		w.at, w.done = r.now, 0
-		for n := len(r.done) - 1; n >= 0 && r.done[n].at > r.now-over; n-- {
-			if r.done[n].side == side {
-				w.done += float64(r.done[n].cat.mid)
+// answered is the work that a side answered lately, in usual times and one task at the least, and the span: the
+// short one, or as far back as the long one for enough answers. It is worked out once for each moment.
+func (r *Router) answered(side int, short, long Time, enough int) (work float64, span Time) {
+	w := &r.work[side]
+	if w.at != r.now {
+		n := 0
+		w.at, w.done, w.span = r.now, 0, min(short, r.now-r.born)
+		for i := len(r.done) - 1; i >= 0; i-- {
+			x := r.done[i]
+			if age := r.now - x.at; age > w.span && (n >= enough || age > long) {
+				break
+			} else if x.side == side && x.work > 0 {
+				n, w.done, w.span = n+1, w.done+float64(x.work), max(w.span, age)
 			}
 		}
+		if n < enough {
+			w.span = min(long, r.now-r.born)
+		}
+		for _, c := range r.cats {
+			w.done = max(w.done, float64(c.mid))
+		}
+	}
+	return w.done, w.span
+}
+
+// gap is the mean time between the last so many ended sends.
+func (r *Router) gap(n int) Time {
+	n = min(n, len(r.done))
+	if n == 0 {
+		return r.now - r.born
 	}
-	return r.work[side].done
+	return (r.now - r.done[len(r.done)-n].at) / Time(n)
 }
 
-// out is the sends out at a side's hosts that are well, and these hosts.
-func (r *Router) out(side int) (out, hosts float64) {
+// out is the sends out at a side's hosts that are well, as the mean over a span, and these hosts.
+func (r *Router) out(side int, over Time) (out, hosts float64) {
+	part := func(t Time) float64 { return float64(max(0, min(t, over))) / float64(max(1, over)) }
 	for _, h := range r.hosts {
-		if h.health == fit && r.old(h) && r.side(h) == side {
-			out, hosts = out+float64(len(h.open)), hosts+1
+		if h.health != fit || !r.old(h) || r.side(h) != side {
+			continue
+		}
+		hosts++
+		for _, s := range h.open {
+			if over == 0 {
+				out++
+			}
+			out += part(r.now - s.at)
+		}
+	}
+	for i := len(r.done) - 1; i >= 0 && r.done[i].at > r.now-over; i-- {
+		if x := r.done[i]; x.side == side {
+			out += part(min(x.took, over-(r.now-x.at)))
 		}
 	}
 	return out, hosts
--- a/logic/types.go
+++ b/logic/types.go
@@ -294,9 +294,10 @@
 }
 
 type moment struct {
-	at   Time
-	cat  *Category
-	side int
+	at         Time
+	cat        *Category
+	side       int
+	took, work Time // how long a send was out, and its usual time where it was answered
 }
 
 type ballot struct {
@@ -322,8 +323,8 @@
 	news     News
 	heard    bool
 	work     [2]struct { // near and far: work answered lately, as of a moment
-		at   Time
-		done float64
+		at, span Time
+		done     float64
 	}
 	usual struct { // sends that a host gets from this router, as of a moment
 		at   Time
