--- a/logic/logic.go
+++ b/logic/logic.go
@@ -209,14 +209,16 @@
 	if !r.heard || n.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(n.Build, t.Category) {
 		return nil
 	}
-	on, warm := r.runs, func(h *Host) bool { return r.runs(h) && r.now-h.Up > r.limits.Cold }
+	by := func(h *Host) bool { return r.routers <= few || r.side(h) == near }
+	on, warm := func(h *Host) bool { return r.runs(h) && by(h) },
+		func(h *Host) bool { return r.runs(h) && by(h) && r.now-h.Up > r.limits.Cold }
 	part := early
 	if r.news.Stage+1 >= len(r.desk.Caps) && !r.byDesk() { // before a release it is tried in earnest, cold too
 		part = last
 	} else if r.count(warm) > 0 { // they tell most, and what fails late fails there first
 		on = warm
 	}
-	peers, hosts := r.count(r.old), r.count(on)
+	peers, hosts := r.count(func(h *Host) bool { return r.old(h) && by(h) }), r.count(on)
 	due := max(min(least, all/float64(r.routers)), part*since(r.flow, r.now-lately, nil)/max(1, peers)*hosts)
 	if due >= least {
 		due -= since(r.tried, r.now-lately, nil) + 1
@@ -227,8 +229,7 @@
 		return nil
 	}
 	return r.pick(t, func(h *Host) bool { // a sick one is judged too, but not at the cost of an effect
-		return on(h) && (r.routers <= few || r.side(h) == near) &&
-			(h.health != sick || t.Category.Repeat == Retriable)
+		return on(h) && (h.health != sick || t.Category.Repeat == Retriable)
 	})
 }
 
@@ -280,8 +281,9 @@
 	const luck = 0.5                                       // spreads that what is out may be over its due
 	const short, long, enough = 2 * Second, 8 * Second, 20 // to count answers over
 	work, span := r.answered(side, short, long, enough)
-	out, hosts := r.out(side, min(blink, few*r.gap(few)))
-	out -= luck * math.Sqrt(out*(1-1/float64(r.routers)))
+	rest := 1 - 1/float64(r.routers) // of the routers, whose sends this one does not see
+	out, hosts := r.out(side, Time(rest*float64(min(blink, few*r.gap(few)))))
+	out -= luck * math.Sqrt(out*rest)
 	if out*float64(r.routers) <= hosts {
 		return 0
 	}
@@ -682,7 +684,7 @@
 	final := r.news.Stage+1 >= len(r.desk.Caps)
 	if final {
 		waited := float64(max(0, r.now-r.staged-r.desk.LeastTime)) / float64(Second)
-		limit, worst = min(1, math.Pow(sure, lean(r.desk.ToMoveOn))+softer*waited), 1+bear*waited
+		limit, worst = min(1, math.Pow(sure, lean(r.desk.ToMoveOn))+softer*waited), (1+bear*waited)/lean(r.desk.ToMoveOn)
 	}
 	switch {
 	case r.news.Phase == Released && w > math.Pow(lateAlarm, lean(r.desk.ToAbort)),
