--- a/logic/logic.go
+++ b/logic/logic.go
@@ -90,8 +90,7 @@
 	if h.Up == 0 || r.now-h.Up >= r.limits.Cold {
 		return true
 	}
-	strength := r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, r.now-h.Up))/float64(r.limits.Cold)
-	budget := part * r.limits.Tip * strength * float64(r.limits.TipFor) * r.rate(flowOver)
+	budget := part * r.limits.Tip * r.strength(h) * float64(r.limits.TipFor) * r.rate(flowOver)
 	turn := int(r.now/r.limits.TipFor)*(1+r.routers/2) + int(h.ID)%r.routers + r.rank
 	mine := float64(turn%r.routers) < budget*float64(r.routers)
 	return mine && since(h.sent, r.now-r.limits.TipFor, nil)+1 <= max(1, budget)
@@ -174,7 +173,7 @@
 		}
 	}
 	level := 0
-	if 2*r.count(func(h *Host) bool { return r.old(h) && h.Build == newest }) < r.count(r.old) {
+	if 3*r.count(func(h *Host) bool { return r.old(h) && h.Build == newest }) < r.count(r.old) {
 		level = 1 // too few to carry all, as when a list that is down has not told of the rest
 	}
 	for ; level < 3; level++ {
@@ -200,25 +199,23 @@
 // onTrial picks a host for a copy, or nil where one is not allowed or not wanted. Categories with an effect
 // go there only after the guarded stages, and only until they have been judged.
 func (r *Router) onTrial(t *Task) *Host {
-	const early, last = 0.7, 1.0        // of what earlier hosts get: the trial's own load must prove nothing
+	const part = 0.7                    // of what earlier hosts get: the trial's own load must prove nothing
 	const cleared, guilty = 0.1, 30     // odds: an effect is risked no more than judging its category takes
 	const lately, least = 2 * Second, 2 // a short while, and copies in it that even the first stage gets
 	const all = 8                       // of those from all routers: a part of what one host can do
-	const few = 4                       // routers; more leave it to those nearby, or the way there is judged
+	const few = 4                       // routers; of more, those nearby suffice, and no way there is judged
 	n := r.news
 	if !r.heard || n.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(n.Build, t.Category) {
 		return nil
 	}
-	by := func(h *Host) bool { return r.routers <= few || r.side(h) == near }
+	any := r.routers <= few && r.count(func(h *Host) bool { return r.runs(h) && r.side(h) == near }) == 0
+	by := func(h *Host) bool { return any || r.side(h) == near }
 	on, warm := func(h *Host) bool { return r.runs(h) && by(h) },
 		func(h *Host) bool { return r.runs(h) && by(h) && r.now-h.Up > r.limits.Cold }
-	part := early
-	if r.news.Stage+1 >= len(r.desk.Caps) && !r.byDesk() { // before a release it is tried in earnest, cold too
-		part = last
-	} else if r.count(warm) > 0 { // they tell most, and what fails late fails there first
+	if r.count(warm) > 0 { // they tell most, and what fails late fails there first
 		on = warm
 	}
-	peers, hosts := r.count(func(h *Host) bool { return r.old(h) && by(h) }), r.count(on)
+	peers, hosts := r.count(func(h *Host) bool { return r.old(h) && by(h) }), r.strong(on)
 	due := max(min(least, all/float64(r.routers)), part*since(r.flow, r.now-lately, nil)/max(1, peers)*hosts)
 	if due >= least {
 		due -= since(r.tried, r.now-lately, nil) + 1
@@ -514,9 +511,13 @@
 // while the earlier build's answers are slower than before the trial.
 func (r *Router) resting() bool { return r.now < r.suspect && r.now/turn%2 == 1 }
 
-// unsure tells that too few turns have passed, or too few hosts are known to carry all after a release.
+// unsure tells that too few turns have passed, or that the hosts known are too few to carry all after a
+// release, or too cold: the more jammed the fleet, the warmer they must be.
 func (r *Router) unsure() bool {
-	return r.now < r.suspect && r.now-r.doubted < 3*turn || 2*r.count(r.runs) < r.count(r.old)
+	const least, forJam = 0.4, 0.15 // of full strength: it binds where answers take twice as long as usual
+	need := min(0.95, least+forJam*max(1, r.jam(near)))
+	return r.now < r.suspect && r.now-r.doubted < 3*turn || 2*r.count(r.runs) < r.count(r.old) ||
+		r.strong(r.runs) < need*r.count(r.runs)
 }
 
 // shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no,
@@ -558,24 +559,18 @@
 }
 
 // byDesk tells whether the desk counts a larger share of all sends than a router sees of them: then its
-// counts are judged in place of the router's own samples, and routers come to the same verdict.
-func (r *Router) byDesk() bool { return r.desk.Counted*float64(r.routers) > 1 }
+// counts are judged in place of the router's own samples, and routers come to the same verdict. After a
+// release there are no originals of the same time, and only its own sends tell errors from a jam's time-outs.
+func (r *Router) byDesk() bool {
+	return r.news.Phase == OnTrial && r.desk.Counted*float64(r.routers) > 1
+}
 
 // heardOf are the desk's counts to be judged, of the build and of the one before it, over the same time.
-// Those of a time when no host of the build was warm, or few were after a release, speak of the cold.
+// Those of a time when no host of the build was warm speak of the cold.
 func (r *Router) heardOf(now, before int) (of [2][]Count) {
-	need, from := 0.01, Time(math.MaxInt64)
-	if r.news.Phase == Released {
-		need, from = 0.75, r.now-10*Second
-	}
-	of[0] = pickCounts(r.counts, func(x Count) bool {
-		return x.Build == now && x.warm >= need && (r.news.Phase != Released || x.at > from)
-	})
-	if r.news.Phase != Released && len(of[0]) > 0 {
-		from = of[0][0].at
-	}
+	of[0] = pickCounts(r.counts, func(x Count) bool { return x.Build == now && x.warm > 0 })
 	of[1] = pickCounts(r.counts, func(x Count) bool {
-		return x.Build == before && (r.news.Phase == Released || x.at >= from)
+		return x.Build == before && len(of[0]) > 0 && x.at >= of[0][0].at
 	})
 	return of
 }
@@ -633,7 +628,10 @@
 			add(1/float64(len(r.cats)), o, o)
 		}
 	}
-	all, usual := words(fresh, warm), words(peers, warm)
+	done := func(s sample) bool { // errors are quick
+		return warm(s) && (s.fate == Finished || s.fate == NoAnswer)
+	}
+	all, usual := words(fresh, done), words(peers, done)
 	most, half := r.drag(all, usual, counts, apart, 0.75), r.drag(all, usual, counts, apart, 0.5)
 	add(1, most, half) // most hosts to convict, half to doubt
 	if r.news.Phase == OnTrial {
@@ -684,7 +682,8 @@
 	final := r.news.Stage+1 >= len(r.desk.Caps)
 	if final {
 		waited := float64(max(0, r.now-r.staged-r.desk.LeastTime)) / float64(Second)
-		limit, worst = min(1, math.Pow(sure, lean(r.desk.ToMoveOn))+softer*waited), (1+bear*waited)/lean(r.desk.ToMoveOn)
+		part := lean(r.desk.ToMoveOn)
+		limit, worst = min(1, math.Pow(sure, part)+softer*waited), (1+bear*waited)/part
 	}
 	switch {
 	case r.news.Phase == Released && w > math.Pow(lateAlarm, lean(r.desk.ToAbort)),
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -208,8 +208,8 @@
 	return gap / max(1, n), n, of, hosts
 }
 
-// answered is the work that a side answered lately, in usual times and one task at the least, and the span: the
-// short one, or as far back as the long one for enough answers. It is worked out once for each moment.
+// answered is the work that a side answered lately, in usual times and one task at the least, and the span:
+// the short one, or as far back as the long one for enough answers. It is worked out once for each moment.
 func (r *Router) answered(side int, short, long Time, enough int) (work float64, span Time) {
 	w := &r.work[side]
 	if w.at != r.now {
@@ -613,3 +613,21 @@
 func ratio(gap, more, variance, most float64) float64 {
 	return math.Exp(max(-most, min(most, (gap*more-more*more/2)/variance)))
 }
+
+// strong is how many warm hosts the hosts of a kind are worth.
+func (r *Router) strong(is func(*Host) bool) (sum float64) {
+	for _, h := range r.hosts {
+		if is(h) {
+			sum += r.strength(h)
+		}
+	}
+	return sum
+}
+
+// strength is the share of its capacity that a host has at the least, as it warms.
+func (r *Router) strength(h *Host) float64 {
+	if h.Up == 0 || r.now-h.Up >= r.limits.Cold {
+		return 1
+	}
+	return r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, r.now-h.Up))/float64(r.limits.Cold)
+}
