Draw also hosts that reported just now; fade old reports; keep to working links while many refuse

Cause: a router meets a host of a large fleet once in twenty seconds, so two random choices knew nothing of either; and where hosts take few connections, new ones were tried at each send. Both reports and links are the router's own, so there is no rush of all routers. Should also help after unlisted deaths and slow handshakes; hurts where a lone working link leads to one slow host.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -106,32 +106,50 @@
 	return above(c.took, 0.05)
 }
 
-// held is how many tasks a host seems to have in hand: what it reported, with what was sent since, or else
-// this router's own open sends as a share of everyone's. A reported rate is no help: it calls all routers at
-// once.
+// held is how many tasks a host seems to have in hand: what it reported, with what was sent since, which
+// fades into what hosts hold on average; else this router's own open sends as a share of everyone's. A
+// reported rate is no help: it calls all routers at once.
 func (r *Router) held(h *Host) float64 {
+	const fades = Second // about what it takes a queue to become another
 	own := float64(len(h.open))
-	switch l := h.load; {
-	case l == nil || r.now-h.loadAt > 2*Second: // a report that old says little
-	case l.Active >= 0:
-		return max(own, l.Active+since(h.sent, h.loadAt-1, nil))
+	if len(r.reports) == 0 {
+		return own * float64(r.routers)
 	}
-	return own * float64(r.routers)
+	usual := mean(r.reports) + own
+	if l := h.load; l != nil && l.Active >= 0 {
+		fresh := math.Exp(-float64(r.now-h.loadAt) / float64(fades))
+		return max(own, usual+(l.Active+since(h.sent, h.loadAt-1, nil)-usual)*fresh)
+	}
+	return usual
 }
 
 // pick draws two hosts at random among those nearby and two among the rest, and takes the less busy one; a
 // far one only if the promised time is so much likelier to be kept there that it is worth half the price: a
-// miss costs windows, classes and tails beyond its earnings.
+// miss costs windows, classes and tails beyond its earnings. Most of a large fleet was heard of long ago, so
+// some that reported just now, to this router alone, are drawn too. While many hosts take no connections, as
+// after deaths that no list tells or where these are scarce, only links that work are used.
 func (r *Router) pick(t *Task, fits func(*Host) bool) (best *Host) {
-	here, there := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
 	const doubt, old = 8, 10 * Second // few sends prove little, and hosts change
+	const lately, more = Second, 3    // as long as a report says much; few, lest one host draws all
+	const barred, last = 0.2, 20      // of the last sends: more than a few hosts refuse
+	here, there := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
 	busy := func(h *Host) float64 { return r.pace(h, doubt, old) * (1 + r.held(h)) }
+	scarce := r.barred(last) > barred
 	draw := func(from []*Host) (best *Host) {
-		for range min(2, len(from)) {
-			if h := from[r.chance(len(from))]; best == nil || busy(h) < busy(best) {
-				best = h
+		known := heard(from, r.now-lately)
+		try := func(n int, from []*Host) {
+			for range min(n, len(from)) {
+				if h := from[r.chance(len(from))]; best == nil || busy(h) < busy(best) {
+					best = h
+				}
 			}
 		}
+		if !scarce || len(known) == 0 {
+			try(2, from)
+		}
+		if scarce || len(r.reports) > 0 && 2*len(known) < len(from) {
+			try(more, known)
+		}
 		return best
 	}
 	a, b := draw(here), draw(there)
@@ -210,10 +228,9 @@
 	}
 	any := r.routers <= few && r.count(func(h *Host) bool { return r.runs(h) && r.side(h) == near }) == 0
 	by := func(h *Host) bool { return any || r.side(h) == near }
-	on, warm := func(h *Host) bool { return r.runs(h) && by(h) },
-		func(h *Host) bool { return r.runs(h) && by(h) && r.now-h.Up > r.limits.Cold }
-	if r.count(warm) > 0 { // they tell most, and what fails late fails there first
-		on = warm
+	on := func(h *Host) bool { return r.runs(h) && by(h) && r.now-h.Up > r.limits.Cold }
+	if r.count(on) == 0 { // warm ones tell most, and what fails late fails there first
+		on = func(h *Host) bool { return r.runs(h) && by(h) }
 	}
 	peers, hosts := r.count(func(h *Host) bool { return r.old(h) && by(h) }), r.strong(on)
 	due := max(min(least, all/float64(r.routers)), part*since(r.flow, r.now-lately, nil)/max(1, peers)*hosts)
@@ -565,16 +582,6 @@
 	return r.news.Phase == OnTrial && r.desk.Counted*float64(r.routers) > 1
 }
 
-// heardOf are the desk's counts to be judged, of the build and of the one before it, over the same time.
-// Those of a time when no host of the build was warm speak of the cold.
-func (r *Router) heardOf(now, before int) (of [2][]Count) {
-	of[0] = pickCounts(r.counts, func(x Count) bool { return x.Build == now && x.warm > 0 })
-	of[1] = pickCounts(r.counts, func(x Count) bool {
-		return x.Build == before && len(of[0]) > 0 && x.at >= of[0][0].at
-	})
-	return of
-}
-
 // weight is the evidence that the newest build is bad, in odds; 1 is none. Copies are judged against the
 // sends at the build before it: failures over all and by category, the desk's counts, slowness, complaints.
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -458,3 +458,44 @@
 	require.Less(t, f.toBuild(2), 50)
 	require.Positive(t, len(list[0].Host.sent))
 }
+
+func TestInALargeFleetHostsThatJustReportedLittleAreDrawnToo(t *testing.T) {
+	f, list := begin(t, func(p *Place) { p.Routers = 50 })
+	for id := range uint32(60) {
+		list = append(list, f.host(100+id, 1))
+	}
+	f.r.Listed(f.now, list, true)
+	n, idle := 0, list[20].Host
+	for range 100 {
+		task := f.take(f.quote)
+		f.pass(Second / 20)
+		for _, s := range task.Sends {
+			load := &Load{Active: 4}
+			if s.Host == idle {
+				n, load = n+1, &Load{}
+			}
+			f.r.Ended(f.now, s, Finished, Second/20, true, load)
+		}
+	}
+	require.Greater(t, n, 10) // an even share would be one or two
+}
+
+func TestWhileLinksAreScarceThoseThatWorkAreUsed(t *testing.T) {
+	f, list := begin(t, nil)
+	fate := func(s *Send) Fate {
+		if s.Host != list[2].Host && s.Host != list[3].Host {
+			return NoLink
+		}
+		return Finished
+	}
+	f.serve(100, f.payment, fate)
+	f.sent = nil
+	f.serve(100, f.payment, fate)
+	refused := 0
+	for _, s := range f.sent {
+		if s.fate == NoLink {
+			refused++
+		}
+	}
+	require.Less(t, refused, 50) // two in three sends at random
+}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -120,9 +120,14 @@
 	s.fate = fate
 	s.Host.open = slices.DeleteFunc(s.Host.open, func(x *Send) bool { return x == s })
 	if load != nil {
-		s.Host.load, s.Host.loadAt = load, r.now
+		if s.Host.load, s.Host.loadAt = load, r.now; load.Active >= 0 {
+			r.reports = keep(r.reports, load.Active, 64)
+		}
+	}
+	if s.Host.linkAt = r.now; fate == NoLink {
+		s.Host.linkAt = 0
 	}
-	x := moment{at: r.now, cat: s.Task.Category, side: r.side(s.Host)}
+	x := moment{at: r.now, cat: s.Task.Category, side: r.side(s.Host), fate: fate}
 	if fate == Finished {
 		x.work = x.cat.mid
 	}
@@ -631,3 +636,36 @@
 	}
 	return r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, r.now-h.Up))/float64(r.limits.Cold)
 }
+
+// heard are the hosts that have answered since, so that a link to them is up.
+func heard(all []*Host, from Time) (some []*Host) {
+	for _, h := range all {
+		if h.linkAt > from {
+			some = append(some, h)
+		}
+	}
+	return some
+}
+
+// barred is the share of the last sends that got no connection.
+func (r *Router) barred(last int) (share float64) {
+	for _, x := range r.done[max(0, len(r.done)-last):] {
+		if x.fate == NoLink {
+			share += 1 / float64(last)
+		}
+	}
+	return share
+}
+
+// mean is the middle of the last figures kept.
+func mean(all []float64) float64 { return stat.Mean(all[max(0, len(all)-64):], nil) }
+
+// heardOf are the desk's counts to be judged, of the build and of the one before it, over the same time.
+// Those of a time when no host of the build was warm speak of the cold.
+func (r *Router) heardOf(now, before int) (of [2][]Count) {
+	of[0] = pickCounts(r.counts, func(x Count) bool { return x.Build == now && x.warm > 0 })
+	of[1] = pickCounts(r.counts, func(x Count) bool {
+		return x.Build == before && len(of[0]) > 0 && x.at >= of[0][0].at
+	})
+	return of
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -80,6 +80,7 @@
 	past   []sample
 	load   *Load
 	loadAt Time
+	linkAt Time // when a send over a link to it last ended
 }
 
 // Listing is what the host list says of one host; whoever calls turns lists into changes.
@@ -297,6 +298,7 @@
 	at         Time
 	cat        *Category
 	side       int
+	fate       Fate
 	took, work Time // how long a send was out, and its usual time where it was answered
 }
 
@@ -330,12 +332,13 @@
 		at   Time
 		rate float64
 	}
-	crowd   float64  // what each task that a host holds adds to the time of the next, as a share
-	recent  []sample // finished sends at earlier builds
-	staged  Time     // when the present stage was first told
-	suspect Time     // until when copies rest every other turn
-	quickAt Time     // when the fleet was last about as quick as before the trial
-	doubted Time     // since when copies rest every other turn
+	crowd   float64   // what each task that a host holds adds to the time of the next, as a share
+	recent  []sample  // finished sends at earlier builds
+	staged  Time      // when the present stage was first told
+	suspect Time      // until when copies rest every other turn
+	quickAt Time      // when the fleet was last about as quick as before the trial
+	doubted Time      // since when copies rest every other turn
+	reports []float64 // what hosts last reported to hold
 	taken   []moment
 	tried   []moment
 	flow    []moment
