Copies are judged against originals of the same two seconds, the desk's counts period by period

Should catch every trouble that comes and goes; where originals are few the comparison leans on all of them, and is weaker.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -590,12 +590,14 @@
 func (r *Router) weight() (mean float64, doubts []float64) {
 	const floor = 0.01                      // least usual failure share: a stray error is no proof
 	const slower, lasting = 0.4, 8 * Second // log of times half as long again; slowness from outside is shorter
+	const while, kin = 2 * Second, 5.0      // compared as one time; originals that all others weigh as much as
 	const worst = 0.25                      // of the hosts, left out to convict: sick ones do not speak
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
 		return 1, nil
 	}
-	// Copies and originals of the same time are compared, or a trouble that begins or ends speaks for a build.
+	// Copies and originals of the same time are compared, second by second, or a trouble that begins or ends
+	// speaks for a build.
 	fresh, peers := now.since(before.start()), before.since(now.start())
 	if r.news.Phase == Released { // what was kept of the earlier build, against what happens now
 		fresh, peers = now.since(r.now-10*Second), before.samples
@@ -612,15 +614,13 @@
 			most := 0
 			for _, c := range cats { // each against its own originals: the mix may change
 				is := func(s sample) bool { return s.cat == c && (warm(s) || s.fate != NoAnswer) }
-				bad, n, hosts := tally(words(fresh, is), but)
-				was, of, _ := tally(words(peers, is), but)
+				some, hosts := matched(fresh, peers, is, but, while, kin)
 				if r.byDesk() {
-					bad, n, hosts = counted(counts[0], c)
-					was, of, _ = counted(counts[1], c)
+					some, hosts = paired(counts[0], counts[1], c, kin)
 				}
-				parts, most = append(parts, part{bad, n, max(floor, (was+0.5)/(of+1))}), max(most, hosts)
+				parts, most = append(parts, some...), max(most, hosts)
 			}
-			return spoken(odds(parts, gaps...), most)
+			return spoken(odds(floored(parts, floor), gaps...), most)
 		}
 		doubt = weigh(0)
 		add(share, weigh(worst), doubt)
@@ -640,7 +640,8 @@
 	done := func(s sample) bool { // errors are quick
 		return warm(s) && (s.fate == Finished || s.fate == NoAnswer)
 	}
-	all, usual := words(fresh, done), words(peers, done)
+	level := levels(peers, done, while, kin)
+	all, usual := words(fresh, done, level), words(peers, done, level)
 	most, half := r.drag(all, usual, counts, apart, 0.75), r.drag(all, usual, counts, apart, 0.5)
 	add(1, most, half) // most hosts to convict, half to doubt
 	if r.news.Phase == OnTrial {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -276,6 +276,23 @@
 	require.Less(t, lean(20), lean(5))
 }
 
+func TestATroubleThatBeginsDuringATrialDoesNotSpeakAgainstTheBuild(t *testing.T) {
+	var fresh, peers []sample
+	for i := range Time(200) { // errors come in the last second of ten, when copies have become many
+		late, at := i >= 180, i*Second/20
+		x := sample{at: at, host: &Host{}, fate: Finished}
+		if peers = append(peers, x); late && i%2 == 0 {
+			peers[i].fate = Errored
+		}
+		if late {
+			fresh = append(fresh, peers[i])
+		}
+	}
+	is := func(sample) bool { return true }
+	parts, _ := matched(fresh, peers, is, 0, 2*Second, 5)
+	require.Less(t, odds(floored(parts, 0.01), 0.06, 0.15, 0.6), 3.0)
+}
+
 func TestAnotherMixOfTasksIsNoFailure(t *testing.T) {
 	mixed := odds([]part{{90, 100, 0.9}, {1, 900, 0.01}}, 0.1, 0.3)
 	require.Less(t, mixed, 1.0)
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -56,8 +56,8 @@
 	return r.books[len(r.books)-1]
 }
 
-// words sums up samples by host, the ones with most bad last.
-func words(all []sample, of func(sample) bool) (sums []word) {
+// words sums up samples by host, the ones with most bad last; how slow they were is told from a level.
+func words(all []sample, of func(sample) bool, level func(sample) float64) (sums []word) {
 	for _, s := range all {
 		if !of(s) {
 			continue
@@ -66,7 +66,7 @@
 		if i < 0 {
 			i, sums = len(sums), append(sums, word{host: s.host})
 		}
-		sums[i].n, sums[i].slow = sums[i].n+1, sums[i].slow+math.Log(max(0.01, s.pace))
+		sums[i].n, sums[i].slow = sums[i].n+1, sums[i].slow+s.slow()-level(s)
 		if s.fate != Finished {
 			sums[i].bad++
 		}
@@ -192,24 +192,14 @@
 }
 
 // countedGap is the log of how much longer the sends of one set of counts took than those of another, by
-// category, with the sends behind each side and the hosts of the first.
+// category and period, with the sends behind each side and the hosts of the first.
 func countedGap(now, before []Count) (gap, n, of float64, hosts int) {
-	type sum struct{ took, n float64 }
-	add := func(all []Count) map[*Category]sum {
-		sums := map[*Category]sum{}
-		for _, x := range all {
-			s, good := sums[x.Category], float64(x.Samples-x.Bad)
-			sums[x.Category] = sum{s.took + float64(x.Mean)*good, s.n + good}
-		}
-		return sums
-	}
-	a, b := add(now), add(before)
 	for _, x := range now {
-		if s, t := a[x.Category], b[x.Category]; s.n > 0 && t.n > 0 && s.took > 0 && t.took > 0 {
-			gap, n, of = gap+s.n*math.Log(s.took/s.n/(t.took/t.n)), n+s.n, of+t.n
-			a[x.Category] = sum{}
+		y, good := beside(x, before), float64(x.Samples-x.Bad)
+		if hosts = x.hosts; good > 0 && x.Mean > 0 && y.Mean > 0 {
+			gap += good * math.Log(float64(x.Mean)/float64(y.Mean))
+			n, of = n+good, of+float64(y.Samples-y.Bad)
 		}
-		hosts = x.hosts
 	}
 	return gap / max(1, n), n, of, hosts
 }
@@ -287,21 +277,115 @@
 	return mean
 }
 
-// tally adds up sends, failed ones, and hosts with any, over all but a share of the hosts: those with most
-// failures. One failure of a host is no sign that it differs from the rest.
-func tally(sums []word, but float64) (bad, n float64, hosts int) {
+// spared are all hosts but a share of them, those with most failures, and how many of these have any. One
+// failure of a host is no sign that it differs from the rest.
+func spared(sums []word, but float64) (some map[*Host]bool, failing int) {
+	some = map[*Host]bool{}
 	left := int(math.Ceil(but * float64(len(sums))))
 	for i, x := range sums {
-		if i > 0 && i >= len(sums)-left && x.bad > 1 {
+		if some[x.host] = i == 0 || i < len(sums)-left || x.bad <= 1; some[x.host] && x.bad > 0 {
+			failing++
+		}
+	}
+	return some, failing
+}
+
+// matched parts sends of a kind by the time when they were made, each with the share of the originals of that
+// time that went bad; kin is how many of these all the others weigh as much as. Hosts are spared as told.
+func matched(fresh, peers []sample, is func(sample) bool, but float64, while Time, kin float64) ([]part, int) {
+	var parts []part
+	flat := func(sample) float64 { return 0 }
+	some, hosts := spared(words(fresh, is, flat), but)
+	same, _ := spared(words(peers, is, flat), but)
+	was, all := map[Time]part{}, part{0.5, 1, 0}
+	for _, s := range peers {
+		if is(s) && same[s.host] {
+			w := was[(s.at-s.took)/while]
+			w.add(s)
+			all.add(s)
+			was[(s.at-s.took)/while] = w
+		}
+	}
+	where := map[Time]int{}
+	for _, s := range fresh {
+		if !is(s) || !some[s.host] {
 			continue
 		}
-		if bad, n = bad+x.bad, n+x.n; x.bad > 0 {
-			hosts++
+		t := (s.at - s.took) / while
+		if _, ok := where[t]; !ok {
+			where[t], parts = len(parts), append(parts, part{usual: was[t].share(all, kin)})
 		}
+		parts[where[t]].add(s)
 	}
-	return bad, n, hosts
+	return parts, hosts
+}
+
+// paired does the same with the desk's counts, period by period.
+func paired(now, before []Count, c *Category, kin float64) (parts []part, hosts int) {
+	all := part{0.5, 1, 0}
+	of := func(x Count) part { return part{bad: float64(x.Bad), n: float64(x.Samples)} }
+	for _, x := range before {
+		if x.Category == c {
+			all.bad, all.n = all.bad+float64(x.Bad), all.n+float64(x.Samples)
+		}
+	}
+	for _, x := range now {
+		if x.Category == c {
+			p := of(x)
+			p.usual, hosts = of(beside(x, before)).share(all, kin), x.hosts
+			parts = append(parts, p)
+		}
+	}
+	return parts, hosts
+}
+
+// beside is the count of the same category and period at the other build.
+func beside(x Count, others []Count) Count {
+	for _, y := range others {
+		if y.Category == x.Category && y.at == x.at {
+			return y
+		}
+	}
+	return Count{}
 }
 
+func (p *part) add(s sample) {
+	if p.n++; s.fate != Finished {
+		p.bad++
+	}
+}
+
+// share is how many went bad, leaning on all others as if these were kin.
+func (p part) share(all part, kin float64) float64 { return (p.bad + kin*all.bad/all.n) / (p.n + kin) }
+
+// floored has no part whose usual share is below a floor.
+func floored(parts []part, floor float64) []part {
+	for i := range parts {
+		parts[i].usual = max(floor, parts[i].usual)
+	}
+	return parts
+}
+
+// levels tells how slow, as a log, sends of a kind were on average at the time of a sample, likewise.
+func levels(all []sample, is func(sample) bool, while Time, kin float64) func(sample) float64 {
+	type sum struct{ slow, n float64 }
+	of, whole := map[Time]sum{}, sum{0, 0.01}
+	for _, s := range all {
+		if is(s) {
+			t := of[(s.at-s.took)/while]
+			of[(s.at-s.took)/while] = sum{t.slow + s.slow(), t.n + 1}
+			whole = sum{whole.slow + s.slow(), whole.n + 1}
+		}
+	}
+	return func(s sample) float64 {
+		t := of[(s.at-s.took)/while]
+		return (t.slow + kin*whole.slow/whole.n) / (t.n + kin)
+	}
+}
+
+// slow is the log of a sample's pace.
+func (x sample) slow() float64 { return math.Log(max(0.01, x.pace)) }
+
 // paces are the logs of how slow hosts are, and the variance of their mean when hosts differ by so much among
 // themselves and sends scatter by so much. Only hosts with the first of so many sends count, else the next.
 func paces(hosts []word, differ, scatter float64, least ...float64) (logs []float64, variance float64) {
