--- a/logic/logic.go
+++ b/logic/logic.go
@@ -98,14 +98,6 @@
 
 // ---- Choosing a host ----
 
-// slowest is the time that one in twenty of the category's finished sends takes longer than.
-func (c *Category) slowest() Time {
-	if len(c.took) < 40 {
-		return c.Promised / 2
-	}
-	return above(c.took, 0.05)
-}
-
 // held is how many tasks a host seems to have in hand: what it reported, with what was sent since, which
 // fades into what hosts hold on average; else this router's own open sends as a share of everyone's. A
 // reported rate is no help: it calls all routers at once.
@@ -328,7 +320,11 @@
 func (r *Router) send(t *Task, h *Host, how role) {
 	s := r.enlist(t, h, how)
 	within := t.at + t.Patience - r.now
-	lingersAt := max(t.Category.slowest()*3/2, t.Category.mid*2) // beyond 19 in 20, with some slack
+	slowest := t.Category.Promised / 2
+	if len(t.Category.took) >= 40 { // fewer show no tail
+		slowest = above(t.Category.took, 0.05)
+	}
+	lingersAt := max(slowest*3/2, t.Category.mid*2) // beyond 19 in 20, with some slack
 	switch {
 	case !t.Category.mayRepeat():
 	case r.limits.TwoAtOnce && how != copied:
@@ -589,20 +585,23 @@
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
 	const floor = 0.01                      // least usual failure share: a stray error is no proof
-	const slower, lasting = 0.4, 8 * Second // log of times half as long again; slowness from outside is shorter
+	const slower, lasting = 0.4, 8 * Second // log of twice the middle; slowness from outside is shorter
 	const while, kin = 2 * Second, 5.0      // compared as one time; originals that all others weigh as much as
 	const worst = 0.25                      // of the hosts, left out to convict: sick ones do not speak
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
 		return 1, nil
 	}
-	// Copies and originals of the same time are compared, second by second, or a trouble that begins or ends
-	// speaks for a build.
+	// Copies and originals of the same time are compared, or a trouble that begins or ends speaks for a build.
 	fresh, peers := now.since(before.start()), before.since(now.start())
 	if r.news.Phase == Released { // what was kept of the earlier build, against what happens now
 		fresh, peers = now.since(r.now-10*Second), before.samples
 	}
 	warm := func(s sample) bool { return s.age > r.limits.Cold } // a cold host is slow whatever its build
+	// Nor are time-outs in a jam after a release, or of hasty clients, the build's.
+	fair := func(s sample) bool {
+		return s.fate != NoAnswer || warm(s) && !s.hasty && r.news.Phase == OnTrial
+	}
 	counts := r.heardOf(now.build, before.build)
 	sum, shares := 0.0, 0.0
 	add := func(share, guilt, doubt float64) {
@@ -613,7 +612,7 @@
 			var parts []part
 			most := 0
 			for _, c := range cats { // each against its own originals: the mix may change
-				is := func(s sample) bool { return s.cat == c && !s.hasty && (warm(s) || s.fate != NoAnswer) }
+				is := func(s sample) bool { return s.cat == c && fair(s) }
 				some, hosts := matched(fresh, peers, is, but, while, kin)
 				if r.byDesk() {
 					some, hosts = paired(counts[0], counts[1], c, kin)
@@ -649,7 +648,8 @@
 		add(1, o, o)
 	}
 	logs := now.slowness(r.now-3*Second, r.crowd)
-	if r.news.Phase != Released || len(logs) < 5 || stat.Mean(logs, nil) < slower {
+	n := float64(len(logs)) // few of them scatter
+	if r.news.Phase != Released || n < 5 || stat.Mean(logs, nil)-0.5/math.Sqrt(n) < slower {
 		r.quickAt = r.now
 	} else if r.now-r.quickAt > lasting {
 		add(1, math.Inf(1), 1)
