--- a/logic/logic.go
+++ b/logic/logic.go
@@ -210,7 +210,7 @@
 // go there only after the guarded stages, and only until they have been judged.
 func (r *Router) onTrial(t *Task) *Host {
 	const part = 0.7                    // of what earlier hosts get: the trial's own load must prove nothing
-	const cleared, guilty = 0.1, 30     // odds: an effect is risked no more than judging its category takes
+	const cleared, guilty = 0.1, 10     // odds: an effect is risked no more than judging its category takes
 	const lately, least = 2 * Second, 2 // a short while, and copies in it that even the first stage gets
 	const all = 8                       // of those from all routers: a part of what one host can do
 	const few = 4                       // routers; of more, those nearby suffice, and no way there is judged
@@ -281,19 +281,22 @@
 // jam is how often longer than usual the hosts nearby or the rest take to answer: what is out at those that
 // work, by the rate at which work was answered. As what is out drains it falls, and hosts are never left
 // idle. One of many routers has little out, by chance more or less: it takes the mean of the time in which so
-// many tasks are answered, and counts answers over longer.
+// many tasks are answered, and counts answers over longer. Nor can it see that a host hangs: where some answer
+// nothing, while what others answer comes in time, there is no jam.
 func (r *Router) jam(side int) float64 {
 	const few, blink = 10, Second                          // answers to take the mean over, at the longest
-	const luck = 0.5                                       // spreads that what is out may be over its due
+	const luck, lag = 0.5, 3.0                             // spreads over its due; times as slow as answers are
 	const short, long, enough = 2 * Second, 8 * Second, 20 // to count answers over
-	work, span := r.answered(side, short, long, enough)
+	work, span, strain := r.answered(side, short, long, enough/4, enough)
 	rest := 1 - 1/float64(r.routers) // of the routers, whose sends this one does not see
 	out, hosts := r.out(side, Time(rest*float64(min(blink, few*r.gap(few)))))
-	out -= luck * math.Sqrt(out*rest)
-	if out*float64(r.routers) <= hosts {
+	if out -= luck * math.Sqrt(out*rest); out*float64(r.routers) <= hosts {
 		return 0
 	}
-	return out * float64(span) / work
+	if r.routers <= 4 {
+		strain = math.Inf(1)
+	}
+	return min(out*float64(span)/work, lag*strain)
 }
 
 // tooLate turns a task back early when the hosts around the one chosen would answer it too late. The less a
@@ -498,10 +501,9 @@
 // spoken bounds the odds by the number of hosts that speak for them: each may at most quadruple them.
 func spoken(o float64, hosts int) float64 { return min(o, math.Pow(4, float64(max(1, hosts)))) }
 
-// drag weighs whether a build's hosts are slower than the ones before: the likelihood ratio of half as slow
-// again or more against no slower, host by host, since hosts differ among themselves however many sends they
-// answer. apart is the variance between two sets of hosts, at two times, whose builds are equally good;
-// share is how many of the hosts must be at least that slow. Where the desk's counts see more, they speak.
+// drag weighs whether a build's hosts are slower than the ones before, host by host, since hosts differ among
+// themselves however many sends they answer. apart is the variance between two sets of hosts, at two times,
+// that are equally good; share is how many of the hosts must be that slow. Or the desk's counts speak.
 func (r *Router) drag(now, before []word, counts [2][]Count, apart, share float64) float64 {
 	const differ, scatter = 0.2, 0.8              // variance: the one's square, and the other by sends
 	const more = 0.6                              // log of 1.8: a fleet that is half full feels that
@@ -564,11 +566,10 @@
 	return ratio(stat.Mean(with, nil)-stat.Mean(without, nil), more, variance, 5)
 }
 
-// tallied weighs what the desk counted of a category over all routers. It does not tell hosts of a build
-// apart, so only what it counted at several counts, and only failures far beyond what one sick host brings.
+// tallied weighs what the desk counted of a category. It does not tell hosts apart, so only what it counted at
+// several counts, and only failures far beyond what one sick host brings.
 func (r *Router) tallied(c *Category, now, before int) float64 {
-	several := func(x Count) bool { return x.Build == now && x.hosts >= 4 } // a tenth fail at the least
-	bad, n, hosts := counted(pickCounts(r.counts, several), c)
+	bad, n, hosts := counted(pickCounts(r.counts, func(x Count) bool { return x.Build == now && x.hosts > 3 }), c)
 	was, of, _ := counted(pickCounts(r.counts, func(x Count) bool { return x.Build == before }), c)
 	return spoken(odds([]part{{bad, n, max(0.1, (was+0.5)/(of+1))}}, 0.25, 0.6), hosts)
 }
@@ -584,10 +585,10 @@
 // sends at the build before it: failures over all and by category, the desk's counts, slowness, complaints.
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
-	const floor = 0.01                      // least usual failure share: a stray error is no proof
-	const slower, lasting = 0.4, 8 * Second // log of twice the middle; slowness from outside is shorter
-	const while, kin = 2 * Second, 5.0      // compared as one time; originals that all others weigh as much as
-	const worst = 0.25                      // of the hosts, left out to convict: sick ones do not speak
+	const floor, worst = 0.01, 0.25    // least usual failure share; share of hosts left out to convict
+	const while, kin = 2 * Second, 5.0 // compared as one time; originals that all others weigh as much as
+	// From a release on, the log of twice the middle, for so long: slowness from outside comes later or is short.
+	const slower, lasting, begins = 0.4, 8 * Second, 5 * Second
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
 		return 1, nil
@@ -597,8 +598,8 @@
 	if r.news.Phase == Released { // what was kept of the earlier build, against what happens now
 		fresh, peers = now.since(r.now-10*Second), before.samples
 	}
-	warm := func(s sample) bool { return s.age > r.limits.Cold } // a cold host is slow whatever its build
-	// Nor are time-outs in a jam after a release, or of hasty clients, the build's.
+	// A cold host is slow whatever its build; time-outs of hasty clients or in a release's jam say nothing.
+	warm := func(s sample) bool { return s.age > r.limits.Cold }
 	fair := func(s sample) bool {
 		return s.fate != NoAnswer || warm(s) && !s.hasty && r.news.Phase == OnTrial
 	}
@@ -614,8 +615,8 @@
 			for _, c := range cats { // each against its own originals: the mix may change
 				is := func(s sample) bool { return s.cat == c && fair(s) }
 				some, hosts := matched(fresh, peers, is, but, while, kin)
-				if r.byDesk() {
-					some, hosts = paired(counts[0], counts[1], c, kin)
+				if r.byDesk() { // which does not tell hosts apart: this router's own copies do
+					some, hosts = paired(counts[0], counts[1], c, kin), hosts+1
 				}
 				parts, most = append(parts, some...), max(most, hosts)
 			}
@@ -651,7 +652,7 @@
 	n := float64(len(logs)) // few of them scatter
 	if r.news.Phase != Released || n < 5 || stat.Mean(logs, nil)-0.5/math.Sqrt(n) < slower {
 		r.quickAt = r.now
-	} else if r.now-r.quickAt > lasting {
+	} else if r.now-r.quickAt > lasting && r.quickAt < r.staged+begins { // later, it is another trouble
 		add(1, math.Inf(1), 1)
 	}
 	if r.desk.Complaints > 0 {
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -206,18 +206,22 @@
 }
 
 // answered is the work that a side answered lately, in usual times and one task at the least, and the span:
-// the short one, or as far back as the long one for enough answers. It is worked out once for each moment.
-func (r *Router) answered(side int, short, long Time, enough int) (work float64, span Time) {
+// the short one, or as far back as the long one for enough answers; and how often longer than usual those of
+// the short one took, if they are a few. It is worked out once for each moment.
+func (r *Router) answered(side int, short, long Time, few, enough int) (float64, Time, float64) {
 	w := &r.work[side]
 	if w.at != r.now {
-		n := 0
-		w.at, w.done, w.span = r.now, 0, min(short, r.now-r.born)
+		n, took := 0, 0.0
+		w.at, w.done, w.span, w.strain = r.now, 0, min(short, r.now-r.born), math.Inf(1)
 		for i := len(r.done) - 1; i >= 0; i-- {
 			x := r.done[i]
 			if age := r.now - x.at; age > w.span && (n >= enough || age > long) {
 				break
 			} else if x.side == side && x.work > 0 {
-				n, w.done, w.span = n+1, w.done+float64(x.work), max(w.span, age)
+				n, w.done, w.span, took = n+1, w.done+float64(x.work), max(w.span, age), took+float64(x.took)
+				if n >= few && age <= short {
+					w.strain = took / w.done
+				}
 			}
 		}
 		if n < enough {
@@ -227,7 +231,7 @@
 			w.done = max(w.done, float64(c.mid))
 		}
 	}
-	return w.done, w.span
+	return w.done, w.span, w.strain
 }
 
 // gap is the mean time between the last so many ended sends.
@@ -322,7 +326,7 @@
 }
 
 // paired does the same with the desk's counts, period by period.
-func paired(now, before []Count, c *Category, kin float64) (parts []part, hosts int) {
+func paired(now, before []Count, c *Category, kin float64) (parts []part) {
 	all := part{0.5, 1, 0}
 	of := func(x Count) part { return part{bad: float64(x.Bad), n: float64(x.Samples)} }
 	for _, x := range before {
@@ -333,11 +337,11 @@
 	for _, x := range now {
 		if x.Category == c {
 			p := of(x)
-			p.usual, hosts = of(beside(x, before)).share(all, kin), x.hosts
+			p.usual = of(beside(x, before)).share(all, kin)
 			parts = append(parts, p)
 		}
 	}
-	return parts, hosts
+	return parts
 }
 
 // beside is the count of the same category and period at the other build.
--- a/logic/types.go
+++ b/logic/types.go
@@ -327,8 +327,8 @@
 	news     News
 	heard    bool
 	work     [2]struct { // near and far: work answered lately, as of a moment
-		at, span Time
-		done     float64
+		at, span     Time
+		done, strain float64
 	}
 	usual struct { // sends that a host gets from this router, as of a moment
 		at   Time
