Where many votes must agree one failing host is not enough, and copies go on after a vote back

Cause: with a quorum of 18 each router owed so little proof that one time-out of a lone copy was enough, and a router that had voted back sent no more copies, so that it never changed its mind; a quarter of the routers gathered that way.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -209,13 +209,13 @@
 // onTrial picks a host for a copy, or nil where one is not allowed or not wanted. Categories with an effect
 // go there only after the guarded stages, and only until they have been judged.
 func (r *Router) onTrial(t *Task) *Host {
-	const part = 0.7                    // of what earlier hosts get: the trial's own load must prove nothing
-	const cleared, guilty = 0.1, 10     // odds: an effect is risked no more than judging its category takes
-	const lately, least = 2 * Second, 2 // a short while, and copies in it that even the first stage gets
-	const all = 8                       // of those from all routers: a part of what one host can do
-	const few = 4                       // routers; of more, those nearby suffice, and no way there is judged
+	const part = 0.7                            // of what earlier hosts get: its own load must prove nothing
+	const cleared, guilty = 0.1, 10             // odds: an effect is risked no more than judging it takes
+	const lately, least, all = 2 * Second, 2, 8 // a while, copies in it of each router at the least, and of all
+	const few = 4                               // routers; of more, those nearby suffice: no way there is judged
 	n := r.news
-	if !r.heard || n.Phase != OnTrial || r.ballot.voice == Back || r.resting() || !r.room(n.Build, t.Category) {
+	alone := r.ballot.voice == Back && r.desk.ToAbort <= 1 // others may not agree, and more copies change a mind
+	if !r.heard || n.Phase != OnTrial || alone || r.resting() || !r.room(n.Build, t.Category) {
 		return nil
 	}
 	any := r.routers <= few && r.count(func(h *Host) bool { return r.runs(h) && r.side(h) == near }) == 0
@@ -280,8 +280,8 @@
 
 // jam is how often longer than usual the hosts nearby or the rest take to answer: what is out at those that
 // work, by the rate at which work was answered. As what is out drains it falls, and hosts are never left
-// idle. One of many routers has little out, by chance more or less: it takes the mean of the time in which so
-// many tasks are answered, and counts answers over longer. Nor can it see that a host hangs: where some answer
+// idle. One of many routers has little out, by chance more or less: it takes the mean of the time in which
+// so many tasks are answered, and counts answers over longer. Nor can it see a host hang: where some answer
 // nothing, while what others answer comes in time, there is no jam.
 func (r *Router) jam(side int) float64 {
 	const few, blink = 10, Second                          // answers to take the mean over, at the longest
@@ -566,14 +566,6 @@
 	return ratio(stat.Mean(with, nil)-stat.Mean(without, nil), more, variance, 5)
 }
 
-// tallied weighs what the desk counted of a category. It does not tell hosts apart, so only what it counted at
-// several counts, and only failures far beyond what one sick host brings.
-func (r *Router) tallied(c *Category, now, before int) float64 {
-	bad, n, hosts := counted(pickCounts(r.counts, func(x Count) bool { return x.Build == now && x.hosts > 3 }), c)
-	was, of, _ := counted(pickCounts(r.counts, func(x Count) bool { return x.Build == before }), c)
-	return spoken(odds([]part{{bad, n, max(0.1, (was+0.5)/(of+1))}}, 0.25, 0.6), hosts)
-}
-
 // byDesk tells whether the desk counts a larger share of all sends than a router sees of them: then its
 // counts are judged in place of the router's own samples, and routers come to the same verdict. After a
 // release there are no originals of the same time, and only its own sends tell errors from a jam's time-outs.
@@ -587,7 +579,7 @@
 func (r *Router) weight() (mean float64, doubts []float64) {
 	const floor, worst = 0.01, 0.25    // least usual failure share; share of hosts left out to convict
 	const while, kin = 2 * Second, 5.0 // compared as one time; originals that all others weigh as much as
-	// From a release on, the log of twice the middle, for so long: slowness from outside comes later or is short.
+	// From a release on, the log of twice the middle, for so long: other slowness comes later or is short.
 	const slower, lasting, begins = 0.4, 8 * Second, 5 * Second
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
@@ -633,7 +625,8 @@
 	test(1, r.cats, small, large, 0.6)
 	for _, c := range r.cats {
 		c.odds = test(1/float64(len(r.cats)), []*Category{c}, whole, 0.7)
-		if o := r.tallied(c, now.build, before.build); r.desk.Counted > 0 && !r.byDesk() && c.Repeat != Retriable {
+		if r.desk.Counted > 0 && !r.byDesk() && c.Repeat != Retriable { // not told by host: far beyond one sick one
+			o := r.tallied(c, now.build, before.build, 4, 0.1, 0.25, 0.6)
 			add(1/float64(len(r.cats)), o, o)
 		}
 	}
@@ -683,6 +676,7 @@
 // at the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
 func (r *Router) verdict() (voice Voice, w float64, doubts []float64) {
 	const alarm, lateAlarm = 8.0, 30.0 // one good build in so many, at the most, is sent back by chance
+	const several = 2.5                // what one failing host alone does not bring about
 	const doubt, sure = 4.0, 0.3       // on in a stage unless in doubt; release when fairly sure
 	const softer, bear = 0.02, 0.5     // a second of waiting costs so much of that, and of the worst test
 	if !r.heard || r.news.Build == 0 || r.news.Phase == GoingBack || r.news.Phase == Withdrawn {
@@ -696,9 +690,12 @@
 		part := lean(r.desk.ToMoveOn)
 		limit, worst = min(1, math.Pow(sure, part)+softer*waited), (1+bear*waited)/part
 	}
+	loud := alarm
+	if r.news.Phase == Released {
+		loud = lateAlarm
+	}
 	switch {
-	case r.news.Phase == Released && w > math.Pow(lateAlarm, lean(r.desk.ToAbort)),
-		r.news.Phase == OnTrial && w > math.Pow(alarm, lean(r.desk.ToAbort)):
+	case w > max(several, math.Pow(loud, lean(r.desk.ToAbort))):
 		return Back, w, doubts
 	case r.news.Phase == OnTrial && r.desk.Control == Clock && w > doubt:
 		return Hold, w, doubts
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -293,6 +293,47 @@
 	require.Less(t, odds(floored(parts, 0.01), 0.06, 0.15, 0.6), 3.0)
 }
 
+func TestWhereManyMustAgreeOneFailingHostDoesNotSendABuildBack(t *testing.T) {
+	f, list := begin(t, func(p *Place) {
+		p.Routers, p.Desk.Control, p.Desk.ToMoveOn, p.Desk.ToAbort = 60, ShareOfVotes, 30, 15
+		p.Limits.TwoAtOnce = false
+	})
+	for id := range uint32(5) {
+		list = append(list, f.host(10+id, 2))
+	}
+	f.r.Listed(f.now, list, true)
+	f.trial(2, 1)
+	story := func(bad func(*Send) bool) {
+		f.serve(200, f.quote, func(s *Send) Fate {
+			if s.build == 2 && bad(s) {
+				return Errored
+			}
+			return Finished
+		})
+	}
+	story(func(s *Send) bool { return s.Host.ID == 9 })
+	require.NotContains(t, f.votes, Back)
+	story(func(*Send) bool { return true })
+	require.Contains(t, f.votes, Back)
+	n := f.toBuild(2)
+	story(func(*Send) bool { return true })
+	require.Greater(t, f.toBuild(2), n) // others may not agree, so the copies go on
+}
+
+func TestAHungHostIsNoJamWhereAnswersComeInTime(t *testing.T) {
+	f, list := begin(t, func(p *Place) { p.Routers = 50 })
+	for range 300 {
+		task := f.take(f.quote)
+		f.pass(Second / 10)
+		for _, s := range task.Sends {
+			if s.Host != list[0].Host && s.Host != list[1].Host {
+				f.end(s, Finished, Second/20)
+			}
+		}
+	}
+	require.Empty(t, f.turned)
+}
+
 func TestAnotherMixOfTasksIsNoFailure(t *testing.T) {
 	mixed := odds([]part{{90, 100, 0.9}, {1, 900, 0.01}}, 0.1, 0.3)
 	require.Less(t, mixed, 1.0)
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -759,3 +759,12 @@
 	})
 	return of
 }
+
+// tallied weighs what the desk counted of a category while so many hosts or more ran the build: by how much
+// more than a least share and the usual one it failed.
+func (r *Router) tallied(c *Category, now, before, few int, floor float64, gaps ...float64) float64 {
+	wide := func(x Count) bool { return x.Build == now && x.hosts >= few }
+	bad, n, hosts := counted(pickCounts(r.counts, wide), c)
+	was, of, _ := counted(pickCounts(r.counts, func(x Count) bool { return x.Build == before }), c)
+	return spoken(odds([]part{{bad, n, max(floor, (was+0.5)/(of+1))}}, gaps...), hosts)
+}
