--- a/logic/logic.go
+++ b/logic/logic.go
@@ -85,7 +85,7 @@
 // part of what the rule lets a host of its present strength have, in units of what hosts get now on average.
 // Where that is less than one send, routers take turns by rank, on a clock that all share without a word.
 func (r *Router) mayWarm(h *Host) bool {
-	const part = 0.6            // of the budget; the rest is for uneven routers, heavy tasks and bursts
+	const part = 0.5            // of the budget; the rest is for uneven routers, heavy tasks and bursts
 	const flowOver = 4 * Second // long enough to even out bursts
 	if h.Up == 0 || r.now-h.Up >= r.limits.Cold {
 		return true
@@ -303,7 +303,7 @@
 // task earns for its time, the sooner, and sooner yet beyond its customer's share.
 func (r *Router) tooLate(t *Task, h *Host) bool {
 	const high, low, beyond = 1.0, 0.8, 0.5 // of the promised time: the tail is longer than the mean
-	const last, firm = 30, 0.8              // of the last answers: as many as come late, the sooner
+	const last, firm, least = 30, 1.0, 0.4  // of the last answers: as many as come late, the sooner
 	limit, better := high, 0
 	for _, c := range r.cats {
 		if c.Earnings*float64(t.Category.mid) > t.Category.Earnings*float64(c.mid) {
@@ -316,7 +316,7 @@
 	if c := t.Customer; c != nil && since(c.taken, r.now-2*Second, nil) > 2.4*c.PerSecond/float64(r.routers) {
 		limit *= beyond
 	}
-	limit *= 1 - firm*r.share(last, func(x moment) bool { return x.late })
+	limit *= max(least, 1-firm*r.share(last, func(x moment) bool { return x.late }))
 	return r.jam(r.side(h))*float64(t.Category.mid) > limit*float64(min(t.Category.Promised, t.Patience))
 }
 
