--- a/logic/logic.go
+++ b/logic/logic.go
@@ -546,7 +546,11 @@
 	if len(logs) < 10 {
 		return 1
 	}
-	if o := ratio(stat.Mean(logs, nil), more, scatter/float64(len(logs))+drift, 5); o < 1 {
+	slow, unsure := stat.Mean(logs, nil), scatter/float64(len(logs))
+	if gap, n := calmer(r.counts, before.build, r.offered, r.now-turn); r.byDesk() && n > 0 {
+		slow, unsure = gap, scatter/n
+	}
+	if o := ratio(slow, more, unsure+drift, 5); o < 1 {
 		return o
 	}
 	const small = 0.15 // of the sends: what gets less can't slow a fleet so
@@ -690,10 +694,7 @@
 		part := lean(r.desk.ToMoveOn)
 		limit, worst = min(1, math.Pow(sure, part)+softer*waited), (1+bear*waited)/part
 	}
-	loud := alarm
-	if r.news.Phase == Released {
-		loud = lateAlarm
-	}
+	loud := map[Phase]float64{OnTrial: alarm, Released: lateAlarm}[r.news.Phase]
 	switch {
 	case w > max(several, math.Pow(loud, lean(r.desk.ToAbort))):
 		return Back, w, doubts
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -129,7 +129,7 @@
 func TestManyRoutersTogetherDoNotPushAColdHostOver(t *testing.T) {
 	n := 0
 	for rank := range 60 { // each serves ten tasks a second of a fleet where that is far over a cold host's due
-		f, list := begin(t, func(p *Place) { p.Routers, p.Rank = 60, rank })
+		f, list := begin(t, func(p *Place) { p.Seed, p.Routers, p.Rank = uint64(rank), 60, rank })
 		f.serve(80, f.quote, fine)
 		list[0].Up = f.now
 		f.r.Listed(f.now, list, true)
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -205,6 +205,25 @@
 	return gap / max(1, n), n, of, hosts
 }
 
+// calmer is the log of how much longer the sends at a build take now than before the build on trial was
+// offered, as the desk counted them, and the number of the latter.
+func calmer(all []Count, build int, offered, now Time) (gap, n float64) {
+	of := func(x Count) bool { return x.Build == build && x.Mean > 0 }
+	calm := pickCounts(all, func(x Count) bool { return of(x) && x.at <= offered })
+	for _, x := range pickCounts(all, func(x Count) bool { return of(x) && x.at > now }) {
+		took, sum := 0.0, 0.0
+		for _, y := range calm {
+			if good := float64(y.Samples - y.Bad); y.Category == x.Category {
+				took, sum = took+good*float64(y.Mean), sum+good
+			}
+		}
+		if good := float64(x.Samples - x.Bad); sum > 0 && took > 0 {
+			gap, n = gap+good*math.Log(float64(x.Mean)*sum/took), n+good
+		}
+	}
+	return gap / max(1, n), n
+}
+
 // answered is the work that a side answered lately, in usual times and one task at the least, and the span:
 // the short one, or as far back as the long one for enough answers; and how often longer than usual those of
 // the short one took, if they are a few. It is worked out once for each moment.
@@ -536,10 +555,11 @@
 	if !r.heard || n.Build != r.news.Build || n.Stage != r.news.Stage || n.Phase != r.news.Phase {
 		r.staged, r.ballot = r.now-n.Age, ballot{}
 	}
-	for _, c := range r.cats {
-		if n.Build != r.news.Build {
+	if n.Build != r.news.Build {
+		for _, c := range r.cats {
 			c.calm = c.mid
 		}
+		r.offered = r.now
 	}
 	r.news, r.heard = n, true
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -336,6 +336,7 @@
 	}
 	crowd   float64   // what each task that a host holds adds to the time of the next, as a share
 	recent  []sample  // finished sends at earlier builds
+	offered Time      // when the newest build was first told
 	staged  Time      // when the present stage was first told
 	suspect Time      // until when copies rest every other turn
 	quickAt Time      // when the fleet was last about as quick as before the trial
