--- a/logic/logic.go
+++ b/logic/logic.go
@@ -122,7 +122,7 @@
 // after deaths that no list tells or where these are scarce, only links that work are used.
 func (r *Router) pick(t *Task, fits func(*Host) bool) (best *Host) {
 	const doubt, old = 8, 10 * Second // few sends prove little, and hosts change
-	const lately, more = Second, 8    // as long as a report says much; few, lest one host draws all
+	const lately, more = Second, 3    // as long as a report says much; few, lest one host draws all
 	const barred, last = 0.2, 20      // of the last sends: more than a few hosts refuse
 	here, there := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
 	busy := func(h *Host) float64 { return r.pace(h, doubt, old) * (1 + r.held(h)) }
