--- a/logic/logic.go
+++ b/logic/logic.go
@@ -146,11 +146,7 @@
 	}
 	a, b := draw(here), draw(there)
 	price := r.limits.CrossPrice * float64(25+r.chance(50)) / 100 // in a band, lest all cross at once
-	late := func(h *Host) float64 { // where hosts report, the one chosen may be worse than its side
-		return math.Exp(-float64(t.Category.Promised) / (float64(t.Category.mid) * (1 + r.crowd*r.held(h))))
-	}
-	if a == nil || b != nil && (r.misses(t, near)-r.misses(t, far) > price ||
-		len(r.reports) > 0 && late(a)-late(b) > price) {
+	if a == nil || b != nil && r.misses(t, near)-r.misses(t, far) > price {
 		return b
 	}
 	return a
