--- a/logic/logic.go
+++ b/logic/logic.go
@@ -679,7 +679,7 @@
 // verdict turns the weight of the evidence into a vote. A move that exposes little needs no proof, as sends
 // at the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
 func (r *Router) verdict() (voice Voice, w float64, doubts []float64) {
-	const alarm, lateAlarm = 8.0, 30.0 // one good build in so many, at the most, is sent back by chance
+	const alarm = 30.0                 // one good build in so many, at the most, goes back by chance; a hold is cheap
 	const several = 2.5                // what one failing host alone does not bring about
 	const doubt, sure = 4.0, 0.3       // on in a stage unless in doubt; release when fairly sure
 	const softer, bear = 0.02, 0.5     // a second of waiting costs so much of that, and of the worst test
@@ -694,9 +694,8 @@
 		part := lean(r.desk.ToMoveOn)
 		limit, worst = min(1, math.Pow(sure, part)+softer*waited), (1+bear*waited)/part
 	}
-	loud := map[Phase]float64{OnTrial: alarm, Released: lateAlarm}[r.news.Phase]
 	switch {
-	case w > max(several, math.Pow(loud, lean(r.desk.ToAbort))):
+	case w > max(several, math.Pow(alarm, lean(r.desk.ToAbort))):
 		return Back, w, doubts
 	case r.news.Phase == OnTrial && r.desk.Control == Clock && w > doubt:
 		return Hold, w, doubts
