--- a/logic/logic.go
+++ b/logic/logic.go
@@ -501,9 +501,8 @@
 // spoken bounds the odds by the number of hosts that speak for them: each may at most quadruple them.
 func spoken(o float64, hosts int) float64 { return min(o, math.Pow(4, float64(max(1, hosts)))) }
 
-// drag weighs whether a build's hosts are slower than the ones before, host by host, since hosts differ among
-// themselves however many sends they answer. apart is the variance between two sets of hosts, at two times,
-// that are equally good; share is how many of the hosts must be that slow. Or the desk's counts speak.
+// drag weighs whether a build's hosts are slower than the ones before, host by host, as they differ. apart is
+// the variance between two good sets, at two times; share is how many must be that slow. Or the desk speaks.
 func (r *Router) drag(now, before []word, counts [2][]Count, apart, share float64) float64 {
 	const differ, scatter = 0.2, 0.8              // variance: the one's square, and the other by sends
 	const more = 0.6                              // log of 1.8: a fleet that is half full feels that
@@ -639,8 +638,8 @@
 	}
 	level := levels(peers, done, while, kin)
 	all, usual := words(fresh, done, level), words(peers, done, level)
-	most, half := r.drag(all, usual, counts, apart, 0.75), r.drag(all, usual, counts, apart, 0.5)
-	add(1, most, half) // most hosts to convict, half to doubt
+	slow := func(share float64) float64 { return r.drag(all, usual, counts, apart, share) }
+	add(1, slow(0.75), slow(0.5)) // most hosts to convict, half to doubt
 	if r.news.Phase == OnTrial {
 		o := r.shared(before)
 		add(1, o, o)
@@ -672,17 +671,15 @@
 	{asked, drops, quiet, false},
 }
 
-// lean is how much of the proof each of so many routers owes whose votes must agree: their evidence is their
-// own, so what all of them hold together weighs far more than what one does.
+// lean is what part of the proof each of so many routers owes whose votes must agree, on their own evidence.
 func lean(votes int) float64 { return 1 / math.Sqrt(float64(max(1, votes-1))) }
 
 // verdict turns the weight of the evidence into a vote. A move that exposes little needs no proof, as sends
 // at the build stay few; the release does, and as waiting has its price, the demand falls as time goes on.
 func (r *Router) verdict() (voice Voice, w float64, doubts []float64) {
-	const alarm = 30.0                 // one good build in so many, at the most, goes back by chance; a hold is cheap
-	const several = 2.5                // what one failing host alone does not bring about
-	const doubt, sure = 4.0, 0.3       // on in a stage unless in doubt; release when fairly sure
-	const softer, bear = 0.02, 0.5     // a second of waiting costs so much of that, and of the worst test
+	const alarm, loud, several = 8.0, 30.0, 2.5 // one good build in so many goes back by chance; one host's odds
+	const doubt, sure = 4.0, 0.3                // on in a stage unless in doubt; release when fairly sure
+	const softer, bear = 0.02, 0.5              // a second of waiting costs so much of that, and of the worst
 	if !r.heard || r.news.Build == 0 || r.news.Phase == GoingBack || r.news.Phase == Withdrawn {
 		return NoVote, w, doubts
 	}
@@ -694,8 +691,12 @@
 		part := lean(r.desk.ToMoveOn)
 		limit, worst = min(1, math.Pow(sure, part)+softer*waited), (1+bear*waited)/part
 	}
+	limitBack := alarm
+	if r.byDesk() || r.news.Phase == Released { // the desk tells no host from a build; a release is dear to undo
+		limitBack = loud
+	}
 	switch {
-	case w > max(several, math.Pow(alarm, lean(r.desk.ToAbort))):
+	case w > max(several, math.Pow(limitBack, lean(r.desk.ToAbort))):
 		return Back, w, doubts
 	case r.news.Phase == OnTrial && r.desk.Control == Clock && w > doubt:
 		return Hold, w, doubts
