--- a/logic/logic.go
+++ b/logic/logic.go
@@ -221,11 +221,12 @@
 	any := r.routers <= few && r.count(func(h *Host) bool { return r.runs(h) && r.side(h) == near }) == 0
 	by := func(h *Host) bool { return any || r.side(h) == near }
 	on := func(h *Host) bool { return r.runs(h) && by(h) && r.now-h.Up > r.limits.Cold }
-	if r.count(on) == 0 { // warm ones tell most, and what fails late fails there first
+	if r.count(on) == 0 || n.Stage+1 >= len(r.desk.Caps) && !r.byDesk() { // warm ones tell most, all slow it
 		on = func(h *Host) bool { return r.runs(h) && by(h) }
 	}
-	peers, hosts := r.count(func(h *Host) bool { return r.old(h) && by(h) }), r.strong(on)
-	due := max(min(least, all/float64(r.routers)), part*since(r.flow, r.now-lately, nil)/max(1, peers)*hosts)
+	peer := func(h *Host) bool { return r.old(h) && by(h) }
+	each := part * since(r.flow, r.now-lately, nil) / max(1, r.count(peer))
+	due := max(min(least, all/float64(r.routers)), each*r.strong(on))
 	if due >= least {
 		due -= since(r.tried, r.now-lately, nil) + 1
 	} else { // less than a router can count: by chance, lest all of them send at once
@@ -235,7 +236,8 @@
 		return nil
 	}
 	return r.pick(t, func(h *Host) bool { // a sick one is judged too, but not at the cost of an effect
-		return on(h) && (h.health != sick || t.Category.Repeat == Retriable)
+		return on(h) && (h.health != sick || t.Category.Repeat == Retriable) &&
+			since(h.sent, r.now-lately, nil) < max(1, each/part*r.strength(h)) // not what others are too cold for
 	})
 }
 
@@ -288,12 +290,12 @@
 	const luck, lag = 0.5, 3.0                             // spreads over its due; times as slow as answers are
 	const short, long, enough = 2 * Second, 8 * Second, 20 // to count answers over
 	work, span, strain := r.answered(side, short, long, enough/4, enough)
-	rest := 1 - 1/float64(r.routers) // of the routers, whose sends this one does not see
+	rest := max(0, 1-4/float64(r.routers)) // each of up to four sees enough of all sends at each moment
 	out, hosts := r.out(side, Time(rest*float64(min(blink, few*r.gap(few)))))
 	if out -= luck * math.Sqrt(out*rest); out*float64(r.routers) <= hosts {
 		return 0
 	}
-	if r.routers <= 4 {
+	if rest == 0 {
 		strain = math.Inf(1)
 	}
 	return min(out*float64(span)/work, lag*strain)
@@ -569,11 +571,10 @@
 	return ratio(stat.Mean(with, nil)-stat.Mean(without, nil), more, variance, 5)
 }
 
-// byDesk tells whether the desk counts a larger share of all sends than a router sees of them: then its
-// counts are judged in place of the router's own samples, and routers come to the same verdict. After a
-// release there are no originals of the same time, and only its own sends tell errors from a jam's time-outs.
+// byDesk tells whether the desk counts far more of all sends than a router sees: then its counts, though late
+// and not by host, are judged, to one verdict of all. After a release only own sends tell errors from a jam.
 func (r *Router) byDesk() bool {
-	return r.news.Phase == OnTrial && r.desk.Counted*float64(r.routers) > 1
+	return r.news.Phase == OnTrial && r.desk.Counted*float64(r.routers) > 2
 }
 
 // weight is the evidence that the newest build is bad, in odds; 1 is none. Copies are judged against the
