--- a/logic/logic.go
+++ b/logic/logic.go
@@ -324,8 +324,7 @@
 
 func (r *Router) send(t *Task, h *Host, how role) {
 	s := r.enlist(t, h, how)
-	within := t.at + t.Patience - r.now
-	slowest := t.Category.Promised / 2
+	within, slowest := t.at+t.Patience-r.now, t.Category.Promised/2
 	if len(t.Category.took) >= 40 { // fewer show no tail
 		slowest = above(t.Category.took, 0.05)
 	}
