--- a/logic/logic.go
+++ b/logic/logic.go
@@ -81,9 +81,8 @@
 	return tried+1 <= r.desk.Free+share*taken
 }
 
-// mayWarm keeps a cold host from being pushed over by all routers together: this one sends no more than its
-// part of what the rule lets a host of its present strength have, in units of what hosts get now on average.
-// Where that is less than one send, routers take turns by rank, on a clock that all share without a word.
+// mayWarm keeps a cold host from being pushed over by all routers together: each sends its part of what the
+// rule allows, by what hosts get now; below one send they take turns by rank, on a clock that all share.
 func (r *Router) mayWarm(h *Host) bool {
 	const part = 0.5            // of the budget; the rest is for uneven routers, heavy tasks and bursts
 	const flowOver = 4 * Second // long enough to even out bursts
@@ -531,8 +530,7 @@
 // unsure tells that too few turns have passed, or that the hosts known are too few to carry all after a
 // release, or too cold: the more jammed the fleet, the warmer they must be.
 func (r *Router) unsure() bool {
-	const least, forJam = 0.4, 0.15 // of full strength: it binds where answers take twice as long as usual
-	need := min(0.95, least+forJam*max(1, r.jam(near)))
+	need := min(0.95, 0.4+0.15*max(1, r.jam(near))) // it binds where answers take twice as long as usual
 	return r.now < r.suspect && r.now-r.doubted < 3*turn || 2*r.count(r.runs) < r.count(r.old) ||
 		r.strong(r.runs) < need*r.count(r.runs)
 }
@@ -547,7 +545,7 @@
 		return 1
 	}
 	slow, unsure := stat.Mean(logs, nil), scatter/float64(len(logs))
-	if gap, n := calmer(r.counts, before.build, r.offered, r.now-turn); r.byDesk() && n > 0 {
+	if gap, n := calmer(r.counts, before.build, before.build, r.offered, r.now-turn, 0); r.byDesk() && n > 0 {
 		slow, unsure = gap, scatter/n
 	}
 	if o := ratio(slow, more, unsure+drift, 5); o < 1 {
@@ -570,20 +568,18 @@
 	return ratio(stat.Mean(with, nil)-stat.Mean(without, nil), more, variance, 5)
 }
 
-// byDesk tells whether the desk counts far more of all sends than a router sees: then its counts, though late
-// and not by host, are judged, to one verdict of all. After a release only own sends tell errors from a jam.
-func (r *Router) byDesk() bool {
-	return r.news.Phase == OnTrial && r.desk.Counted*float64(r.routers) > 2
-}
+// counting tells whether the desk counts far more of all sends than a router sees: then its counts, though
+// late and not by host, are judged; but after a release only own sends tell errors from a jam.
+func (r *Router) counting() bool { return r.desk.Counted*float64(r.routers) > 2 }
+func (r *Router) byDesk() bool   { return r.counting() && r.news.Phase == OnTrial }
 
 // weight is the evidence that the newest build is bad, in odds; 1 is none. Copies are judged against the
 // sends at the build before it: failures over all and by category, the desk's counts, slowness, complaints.
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
-	const floor, worst = 0.01, 0.25    // least usual failure share; share of hosts left out to convict
-	const while, kin = 2 * Second, 5.0 // compared as one time; originals that all others weigh as much as
-	// From a release on, the log of twice the middle, for so long: other slowness comes later or is short.
-	const slower, lasting, begins = 0.4, 8 * Second, 5 * Second
+	const floor, worst = 0.01, 0.25                            // least usual share of failures; hosts left out
+	const while, kin = 2 * Second, 5.0                         // one time; originals that the rest weigh
+	const twice, lasting, begins = 0.4, 8 * Second, 5 * Second // log of it; so long, so soon after a release
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
 	if before == nil {
 		return 1, nil
@@ -638,15 +634,19 @@
 	}
 	level := levels(peers, done, while, kin)
 	all, usual := words(fresh, done, level), words(peers, done, level)
-	slow := func(share float64) float64 { return r.drag(all, usual, counts, apart, share) }
-	add(1, slow(0.75), slow(0.5)) // most hosts to convict, half to doubt
+	slower := func(share float64) float64 { return r.drag(all, usual, counts, apart, share) }
+	add(1, slower(0.75), slower(0.5)) // most hosts to convict, half to doubt
 	if r.news.Phase == OnTrial {
 		o := r.shared(before)
 		add(1, o, o)
 	}
 	logs := now.slowness(r.now-3*Second, r.crowd)
 	n := float64(len(logs)) // few of them scatter
-	if r.news.Phase != Released || n < 5 || stat.Mean(logs, nil)-0.5/math.Sqrt(n) < slower {
+	slow := stat.Mean(logs, nil) - 0.5/math.Sqrt(n)
+	if r.counting() { // a router's own figures are against a third more than the middle
+		slow, n = calmer(r.counts, before.build, now.build, r.offered, r.now-3*Second, 0.3)
+	}
+	if r.news.Phase != Released || n < 5 || slow < twice {
 		r.quickAt = r.now
 	} else if r.now-r.quickAt > lasting && r.quickAt < r.staged+begins { // later, it is another trouble
 		add(1, math.Inf(1), 1)
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -205,12 +205,11 @@
 	return gap / max(1, n), n, of, hosts
 }
 
-// calmer is the log of how much longer the sends at a build take now than before the build on trial was
-// offered, as the desk counted them, and the number of the latter.
-func calmer(all []Count, build int, offered, now Time) (gap, n float64) {
-	of := func(x Count) bool { return x.Build == build && x.Mean > 0 }
-	calm := pickCounts(all, func(x Count) bool { return of(x) && x.at <= offered })
-	for _, x := range pickCounts(all, func(x Count) bool { return of(x) && x.at > now }) {
+// calmer is the log of how much longer the sends at a build take now than those at another before the newest
+// was offered, less so much, as the desk counted them, and the number of the former.
+func calmer(all []Count, was, is int, offered, now Time, less float64) (gap, n float64) {
+	calm := pickCounts(all, func(x Count) bool { return x.Build == was && x.Mean > 0 && x.at <= offered })
+	for _, x := range pickCounts(all, func(x Count) bool { return x.Build == is && x.Mean > 0 && x.at > now }) {
 		took, sum := 0.0, 0.0
 		for _, y := range calm {
 			if good := float64(y.Samples - y.Bad); y.Category == x.Category {
@@ -221,7 +220,7 @@
 			gap, n = gap+good*math.Log(float64(x.Mean)*sum/took), n+good
 		}
 	}
-	return gap / max(1, n), n
+	return gap/max(1, n) - less, n
 }
 
 // answered is the work that a side answered lately, in usual times and one task at the least, and the span:
