--- a/logic/logic.go
+++ b/logic/logic.go
@@ -679,7 +679,7 @@
 func (r *Router) verdict() (voice Voice, w float64, doubts []float64) {
 	const alarm, loud, several = 8.0, 30.0, 2.5 // one good build in so many goes back by chance; one host's odds
 	const doubt, sure = 4.0, 0.3                // on in a stage unless in doubt; release when fairly sure
-	const softer, bear = 0.02, 0.5              // a second of waiting costs so much of that, and of the worst
+	const softer, bear, most = 0.02, 0.5, 8.0   // a second's wait of that, of the worst; while copies go on
 	if !r.heard || r.news.Build == 0 || r.news.Phase == GoingBack || r.news.Phase == Withdrawn {
 		return NoVote, w, doubts
 	}
@@ -689,7 +689,7 @@
 	if final {
 		waited := float64(max(0, r.now-r.staged-r.desk.LeastTime)) / float64(Second)
 		part := lean(r.desk.ToMoveOn)
-		limit, worst = min(1, math.Pow(sure, part)+softer*waited), (1+bear*waited)/part
+		limit, worst = min(1, math.Pow(sure, part)+softer*waited), min(most, 1+bear*waited)/part
 	}
 	limitBack := alarm
 	if r.byDesk() || r.news.Phase == Released { // the desk tells no host from a build; a release is dear to undo
