--- a/logic/logic.go
+++ b/logic/logic.go
@@ -86,7 +86,7 @@
 func (r *Router) mayWarm(h *Host) bool {
 	const part = 0.5            // of the budget; the rest is for uneven routers, heavy tasks and bursts
 	const flowOver = 4 * Second // long enough to even out bursts
-	if h.Up == 0 || r.now-h.Up >= r.limits.Cold {
+	if r.warm(h) {
 		return true
 	}
 	budget := part * r.limits.Tip * r.strength(h) * float64(r.limits.TipFor) * r.rate(flowOver)
@@ -577,7 +577,7 @@
 // sends at the build before it: failures over all and by category, the desk's counts, slowness, complaints.
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
-	const floor, worst = 0.01, 0.25                            // least usual share of failures; hosts left out
+	const floor, worst, stray = 0.01, 0.25, 1                  // least usual failures; hosts left out, if with more
 	const while, kin = 2 * Second, 5.0                         // one time; originals that the rest weigh
 	const twice, lasting, begins = 0.4, 8 * Second, 5 * Second // log of it; so long, so soon after a release
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
@@ -605,7 +605,7 @@
 			most := 0
 			for _, c := range cats { // each against its own originals: the mix may change
 				is := func(s sample) bool { return s.cat == c && fair(s) }
-				some, hosts := matched(fresh, peers, is, but, while, kin)
+				some, hosts := matched(fresh, peers, is, but, stray, while, kin)
 				if r.byDesk() { // which does not tell hosts apart: this router's own copies do
 					some, hosts = paired(counts[0], counts[1], c, kin), hosts+1
 				}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -304,7 +304,7 @@
 		}
 	}
 	is := func(sample) bool { return true }
-	parts, _ := matched(fresh, peers, is, 0, 2*Second, 5)
+	parts, _ := matched(fresh, peers, is, 0, 1, 2*Second, 5)
 	require.Less(t, odds(floored(parts, 0.01), 0.06, 0.15, 0.6), 3.0)
 }
 
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -182,10 +182,10 @@
 	return some
 }
 
-// counted adds up what the desk counted of a category, or of all.
+// counted adds up what the desk counted of a category.
 func counted(all []Count, c *Category) (bad, n float64, hosts int) {
 	for _, x := range all {
-		if c == nil || x.Category == c {
+		if x.Category == c {
 			bad, n, hosts = bad+float64(x.Bad), n+float64(x.Samples), x.hosts
 		}
 	}
@@ -300,13 +300,13 @@
 	return mean
 }
 
-// spared are all hosts but a share of them, those with most failures, and how many of these have any. One
-// failure of a host is no sign that it differs from the rest.
-func spared(sums []word, but float64) (some map[*Host]bool, failing int) {
+// spared are all hosts but a share of them, those with most failures, and how many of these have any. So few
+// failures of a host as are stray are no sign that it differs from the rest.
+func spared(sums []word, but, stray float64) (some map[*Host]bool, failing int) {
 	some = map[*Host]bool{}
 	left := int(math.Ceil(but * float64(len(sums))))
 	for i, x := range sums {
-		if some[x.host] = i == 0 || i < len(sums)-left || x.bad <= 1; some[x.host] && x.bad > 0 {
+		if some[x.host] = i == 0 || i < len(sums)-left || x.bad <= stray; some[x.host] && x.bad > 0 {
 			failing++
 		}
 	}
@@ -315,18 +315,18 @@
 
 // matched parts sends of a kind by the time when they were made, each with the share of the originals of that
 // time that went bad; kin is how many of these all the others weigh as much as. Hosts are spared as told.
-func matched(fresh, peers []sample, is func(sample) bool, but float64, while Time, kin float64) (
+func matched(fresh, peers []sample, is func(sample) bool, but, stray float64, while Time, kin float64) (
 	parts []part, hosts int) {
 	flat := func(sample) float64 { return 0 }
-	some, hosts := spared(words(fresh, is, flat), but)
-	same, _ := spared(words(peers, is, flat), but)
+	some, hosts := spared(words(fresh, is, flat), but, stray)
+	same, _ := spared(words(peers, is, flat), but, stray)
 	was, all := map[Time]part{}, part{0.5, 1, 0}
 	for _, s := range peers {
 		if is(s) && same[s.host] {
-			w := was[(s.at-s.took)/while]
+			w := was[s.slot(while)]
 			w.add(s)
 			all.add(s)
-			was[(s.at-s.took)/while] = w
+			was[s.slot(while)] = w
 		}
 	}
 	where := map[Time]int{}
@@ -334,7 +334,7 @@
 		if !is(s) || !some[s.host] {
 			continue
 		}
-		t := (s.at - s.took) / while
+		t := s.slot(while)
 		if _, ok := where[t]; !ok {
 			where[t], parts = len(parts), append(parts, part{usual: was[t].share(all, kin)})
 		}
@@ -345,13 +345,9 @@
 
 // paired does the same with the desk's counts, period by period.
 func paired(now, before []Count, c *Category, kin float64) (parts []part) {
-	all := part{0.5, 1, 0}
+	bad, n, _ := counted(before, c)
+	all := part{0.5 + bad, 1 + n, 0}
 	of := func(x Count) part { return part{bad: float64(x.Bad), n: float64(x.Samples)} }
-	for _, x := range before {
-		if x.Category == c {
-			all.bad, all.n = all.bad+float64(x.Bad), all.n+float64(x.Samples)
-		}
-	}
 	for _, x := range now {
 		if x.Category == c {
 			p := of(x)
@@ -395,17 +391,20 @@
 	of, whole := map[Time]sum{}, sum{0, 0.01}
 	for _, s := range all {
 		if is(s) {
-			t := of[(s.at-s.took)/while]
-			of[(s.at-s.took)/while] = sum{t.slow + s.slow(), t.n + 1}
+			t := of[s.slot(while)]
+			of[s.slot(while)] = sum{t.slow + s.slow(), t.n + 1}
 			whole = sum{whole.slow + s.slow(), whole.n + 1}
 		}
 	}
 	return func(s sample) float64 {
-		t := of[(s.at-s.took)/while]
+		t := of[s.slot(while)]
 		return (t.slow + kin*whole.slow/whole.n) / (t.n + kin)
 	}
 }
 
+// slot is the span of the clock that a sample was sent in.
+func (x sample) slot(while Time) Time { return (x.at - x.took) / while }
+
 // slow is the log of a sample's pace.
 func (x sample) slow() float64 { return math.Log(max(0.01, x.pace)) }
 
@@ -738,9 +737,12 @@
 	return sum
 }
 
+// warm tells hosts that have been up for long enough to do all they can.
+func (r *Router) warm(h *Host) bool { return h.Up == 0 || r.now-h.Up >= r.limits.Cold }
+
 // strength is the share of its capacity that a host has at the least, as it warms.
 func (r *Router) strength(h *Host) float64 {
-	if h.Up == 0 || r.now-h.Up >= r.limits.Cold {
+	if r.warm(h) {
 		return 1
 	}
 	return r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, r.now-h.Up))/float64(r.limits.Cold)
