--- a/logic/logic.go
+++ b/logic/logic.go
@@ -577,7 +577,7 @@
 // sends at the build before it: failures over all and by category, the desk's counts, slowness, complaints.
 // The mean is what a vote back needs; what may still be wrong, test by test, is what a release needs to know.
 func (r *Router) weight() (mean float64, doubts []float64) {
-	const floor, worst, stray = 0.01, 0.25, 1                  // least usual failures; hosts left out, if with more
+	const floor, worst, stray = 0.01, 0.25, 1                  // least usual failures; hosts left out
 	const while, kin = 2 * Second, 5.0                         // one time; originals that the rest weigh
 	const twice, lasting, begins = 0.4, 8 * Second, 5 * Second // log of it; so long, so soon after a release
 	now, before := r.book(r.news.Build), r.before(r.news.Build, 20)
