Put one router library under the adapter, for the daemon to stand on too

The bench's adapter held the tables between ids and the module's nouns; a daemon would have written them again. router/ now owns one logic.Router and takes events and returns actions, without sockets, clock or goroutine; it ends each send once and drops tasks and long-gone hosts of which nothing more can be heard. internal/drill only translates.

--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -1,16 +1,15 @@
-// Package drill binds the simulator's events to calls of the decision module, and what it asks for to
-// actions: ids become pointers, microseconds become tenths of a millisecond, lists become changes. It
-// decides nothing.
+// Package drill is the simulator's door to the router library: lines of its wire become events, and actions become
+// lines; microseconds become tenths of a millisecond. It decides nothing.
 package drill
 
 import (
 	"errors"
 	"fmt"
 	"io"
-	"sort"
 
 	"dapplefront/internal/wire"
 	"dapplefront/logic"
+	"dapplefront/router"
 )
 
 const tenth = 100 // microseconds
@@ -47,45 +46,34 @@
 
 func span(us int64) logic.Time { return logic.Time(us / tenth) }
 
-// seat is where one instance sits: its router, and what its ids mean.
+// seat is where one instance sits: its router, and what it was told at start of reports and counts.
 type seat struct {
-	instance  int
-	out       *wire.Writer
-	router    *logic.Router
-	hosts     map[uint32]*logic.Host
-	locations map[string]*logic.Location
-	cats      map[string]*logic.Category
-	customers map[string]*logic.Customer
-	tasks     map[string]*logic.Task
-	ids       map[*logic.Task]string
-	ended     map[*logic.Task]int
-	alarms    map[int64]*logic.Alarm
-	marks     int64
-	fields    []string
-	counted   logic.Time // the span of the desk's counts
+	instance int
+	out      *wire.Writer
+	router   *router.Router
+	actions  []router.Action
+	fields   []string
+	counted  logic.Time // the span of the desk's counts
 }
 
 func take(instance int, out *wire.Writer, now logic.Time, l wire.Launch) *seat {
-	s := &seat{instance: instance, out: out, hosts: map[uint32]*logic.Host{},
-		locations: map[string]*logic.Location{}, cats: map[string]*logic.Category{},
-		customers: map[string]*logic.Customer{}, tasks: map[string]*logic.Task{},
-		ids: map[*logic.Task]string{}, ended: map[*logic.Task]int{}, alarms: map[int64]*logic.Alarm{}}
+	s := &seat{instance: instance, out: out}
 	p := l.Params
-	place := logic.Place{Seed: l.Prng, Routers: int(p.Int("Balancers")), Rank: int(p.Int("Rank")),
-		Location: s.location(p["MyZone"])}
+	place := router.Place{Seed: l.Prng, Routers: int(p.Int("Balancers")), Rank: int(p.Int("Rank")),
+		Location: p["MyZone"]}
 	for i := range int(p.Int("Categories.count")) {
 		at := fmt.Sprintf("Categories.%d.", i)
-		c := &logic.Category{Promised: span(p.Int(at + "AimUs")), Earnings: p.Float(at + "Importance"),
+		c := router.Category{Name: p[at+"Name"], Promised: span(p.Int(at + "AimUs")), Earnings: p.Float(at + "Importance"),
 			LateShare: p.Float(at + "LateValue"), Memory: span(p.Int(at + "WindowUs"))}
 		c.Repeat = map[string]logic.Repeat{"repeatable": logic.Retriable, "by_key": logic.Fingerprinted,
 			"once": logic.Binding}[p[at+"Semantics"]]
 		c.Group = map[string]logic.Group{"zone": logic.SameLocation, "cell": logic.SameCell}[p[at+"DedupScope"]]
-		s.cats[p[at+"Name"]] = c
 		place.Categories = append(place.Categories, c)
 	}
 	for i := range int(p.Int("Parties.count")) {
 		at := fmt.Sprintf("Parties.%d.", i)
-		s.customers[p[at+"Name"]] = &logic.Customer{PerSecond: p.Float(at + "QuotaPerS")}
+		place.Customers = append(place.Customers,
+			router.Customer{Name: p[at+"Name"], PerSecond: p.Float(at + "QuotaPerS")})
 	}
 	place.Limits = logic.Limits{Grace: span(p.Int("Obligations.DrainGraceUs")),
 		Cold: span(p.Int("Obligations.ColdUs")), ColdShare: p.Float("Obligations.StartCapacity"),
@@ -114,72 +102,59 @@
 		place.Desk.Caps = append(place.Desk.Caps, wire.Params{"": p.List("Extra.StageCap")[i]}.Float(""))
 	}
 	s.fields = p.List("Report.Fields")
-	s.router = logic.NewRouter(now, place, s)
+	s.router, s.actions = router.New(now, place)
+	s.act()
 	return s
 }
 
-func (s *seat) location(name string) *logic.Location {
-	if s.locations[name] == nil {
-		s.locations[name] = &logic.Location{}
+// hear passes an event on and prints what follows.
+func (s *seat) hear(now logic.Time, body any) error {
+	e := s.event(body)
+	if e == nil {
+		return nil
 	}
-	return s.locations[name]
+	var err error
+	s.actions, err = s.router.Hear(now, e, s.actions[:0])
+	s.act()
+	return err
 }
 
-func (s *seat) hear(now logic.Time, body any) error {
+// event is the router's word for an event of the wire; nil where it has none.
+func (s *seat) event(body any) router.Event {
 	switch e := body.(type) {
 	case wire.View:
-		s.router.Listed(now, s.changes(e), e.How != "X")
-	case wire.Incoming:
-		c := s.cats[e.Qos]
-		if c == nil {
-			return fmt.Errorf("INCOMING %s names the class %q, one of LAUNCH's classes expected", e.Ticket, e.Qos)
+		if e.How == "X" {
+			return router.Unlisted{}
 		}
-		t := &logic.Task{Category: c, Customer: s.customers[e.Owner], Key: e.Resource,
+		return router.Listed{Whole: e.How != "D", Hosts: hosts(e.Entries)}
+	case wire.Incoming:
+		t := router.Taken{Task: e.Ticket, Category: e.Qos, Customer: e.Owner, Key: e.Resource,
 			Patience: span(e.PatienceLeftUs), Again: e.Marks&2 != 0}
 		if e.Marks&1 != 0 {
 			t.Hint = span(e.WorkHintUs)
 		}
-		s.tasks[e.Ticket], s.ids[t] = t, e.Ticket
-		s.router.Take(now, t)
-		s.forget(t)
+		return t
 	case wire.Ended:
-		t := s.tasks[e.Ticket]
-		if t == nil || e.N < 0 || e.N >= len(t.Sends) {
-			return nil
-		}
-		s.ended[t]++
-		s.router.Ended(now, t.Sends[e.N], fates[e.Code], span(e.RttUs), e.Done, s.load(e.Metrics))
-		s.forget(t)
+		return router.Ended{Task: e.Ticket, Send: e.N, Fate: fates[e.Code], Took: span(e.RttUs), Done: e.Done,
+			Load: s.load(e.Metrics)}
 	case wire.TimedOutClient:
-		if t := s.tasks[e.Ticket]; t != nil {
-			s.router.Left(now, t)
-			s.forget(t)
-		}
+		return router.Left{Task: e.Ticket}
 	case wire.AckFirst:
-		if t := s.tasks[e.Ticket]; t != nil && e.N >= 0 && e.N < len(t.Sends) {
-			s.router.Began(now, t.Sends[e.N])
-		}
+		return router.Began{Task: e.Ticket, Send: e.N}
 	case wire.Due:
-		if a := s.alarms[e.Mark]; a != nil {
-			delete(s.alarms, e.Mark)
-			s.router.Due(now, a)
-		}
+		return router.Due{Alarm: e.Mark}
 	case wire.PhaseTold:
 		n := logic.News{Build: e.Image, Stage: e.Tranche, Phase: logic.Phase(e.Standing), Cap: e.Allowed,
 			Age: span(e.AgeUs)}
 		if e.Asked {
 			n.Answer = answers[e.Code]
 		}
-		s.router.Told(now, n)
+		return router.Told{News: n}
 	case wire.CountsByBuild:
-		if c := s.cats[e.Qos]; c != nil {
-			s.router.Counted(now, logic.Count{Build: e.Image, Category: c, Bad: e.Bad, Samples: e.Samples,
-				Mean: span(e.RttUs), Age: span(e.AgeUs), Over: s.counted})
-		}
+		return router.Counted{Build: e.Image, Category: e.Qos, Bad: e.Bad, Samples: e.Samples, Mean: span(e.RttUs),
+			Age: span(e.AgeUs), Over: s.counted}
 	case wire.BadAnswer:
-		if h, c := s.hosts[e.Host], s.cats[e.Qos]; h != nil && c != nil {
-			s.router.Complained(now, h, c, span(e.AgeUs))
-		}
+		return router.Complained{Host: e.Host, Category: e.Qos, Age: span(e.AgeUs)}
 	}
 	return nil
 }
@@ -194,30 +169,11 @@
 var standings = map[string]logic.Standing{"in_service": logic.Serving, "terminating": logic.Draining,
 	"terminated": logic.Gone}
 
-// changes turns a list into changes to what was held; hosts that a whole list leaves out are gone.
-func (s *seat) changes(v wire.View) []logic.Listing {
-	var out []logic.Listing
-	named := map[*logic.Host]bool{}
-	for _, e := range v.Entries {
-		h := s.hosts[e.Host]
-		if h == nil {
-			h = &logic.Host{ID: e.Host}
-			s.hosts[e.Host] = h
-		}
-		named[h] = true
-		out = append(out, logic.Listing{Host: h, Location: s.location(e.Site), Cell: int(e.Cell),
-			Standing: standings[e.Mode], Build: e.Release, Size: e.PowerHint, Up: span(e.UpSinceUs)})
-	}
-	if v.How == "F" || v.How == "C" {
-		var left []logic.Listing
-		for _, h := range s.hosts {
-			if !named[h] {
-				left = append(left, logic.Listing{Host: h, Location: h.Location, Cell: h.Cell,
-					Standing: logic.Gone, Build: h.Build, Size: h.Size, Up: h.Up})
-			}
-		}
-		sort.Slice(left, func(i, j int) bool { return left[i].Host.ID < left[j].Host.ID })
-		out = append(out, left...)
+func hosts(entries []wire.Entry) []router.Host {
+	out := make([]router.Host, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, router.Host{ID: e.Host, Location: e.Site, Cell: int(e.Cell), Standing: standings[e.Mode],
+			Build: e.Release, Size: e.PowerHint, Up: span(e.UpSinceUs)})
 	}
 	return out
 }
@@ -248,35 +204,24 @@
 	return l
 }
 
-// forget drops a task of which nothing more can be heard.
-func (s *seat) forget(t *logic.Task) {
-	if t.Over() && s.ended[t] >= len(t.Sends) {
-		delete(s.tasks, s.ids[t])
-		delete(s.ids, t)
-		delete(s.ended, t)
+// act prints what the router wants done.
+func (s *seat) act() {
+	for _, a := range s.actions {
+		switch a.Do {
+		case router.Send:
+			s.out.Act(s.instance, "TRY", a.Task, a.Host, int64(a.Span)*tenth)
+		case router.TurnBack:
+			s.out.Act(s.instance, "DECLINE", a.Task, int64(a.Span)*tenth)
+		case router.Scrap:
+			s.out.Act(s.instance, "FINISH_ERROR", a.Task)
+		case router.Alarm:
+			s.out.Act(s.instance, "SET_ALARM", int64(a.Span)*tenth, a.Alarm)
+		case router.Watch:
+			s.out.Act(s.instance, "STREAM_CHANGES", 1)
+		case router.Vote:
+			s.out.Act(s.instance, "JUDGE", a.Build, a.Stage, int(a.Voice))
+		case router.Note:
+			s.out.Act(s.instance, "LOG", a.Text)
+		}
 	}
 }
-
-func (s *seat) Send(x *logic.Send, within logic.Time) {
-	s.out.Act(s.instance, "TRY", s.ids[x.Task], x.Host.ID, int64(within)*tenth)
-}
-
-func (s *seat) TurnBack(t *logic.Task, stay logic.Time) {
-	s.out.Act(s.instance, "DECLINE", s.ids[t], int64(stay)*tenth)
-}
-
-func (s *seat) Scrap(t *logic.Task) { s.out.Act(s.instance, "FINISH_ERROR", s.ids[t]) }
-
-func (s *seat) WakeUp(in logic.Time, a *logic.Alarm) {
-	s.marks++
-	s.alarms[s.marks] = a
-	s.out.Act(s.instance, "SET_ALARM", int64(in)*tenth, s.marks)
-}
-
-func (s *seat) WatchHosts() { s.out.Act(s.instance, "STREAM_CHANGES", 1) }
-
-func (s *seat) Vote(build, stage int, voice logic.Voice) {
-	s.out.Act(s.instance, "JUDGE", build, stage, int(voice))
-}
-
-func (s *seat) Note(text string) { s.out.Act(s.instance, "LOG", text) }
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -92,6 +92,14 @@
 	h.Location, h.Cell, h.Standing, h.Build, h.Size, h.Up = l.Location, l.Cell, l.Standing, l.Build, l.Size, l.Up
 }
 
+// Forget drops a host that has long been gone and to which no send is out.
+func (r *Router) Forget(h *Host) {
+	if h.Standing == Gone && len(h.open) == 0 {
+		h.listed = false
+		r.hosts = slices.DeleteFunc(r.hosts, func(x *Host) bool { return x == h })
+	}
+}
+
 // count is how many hosts there are of a kind.
 func (r *Router) count(is func(*Host) bool) (n float64) {
 	for _, h := range r.hosts {
--- a/logic/types.go
+++ b/logic/types.go
@@ -130,6 +130,9 @@
 	began bool
 }
 
+// Copied tells a send that was made to judge the build on trial: beside its original, or before it.
+func (s *Send) Copied() bool { return s.role == copied || s.role == lone }
+
 // Fate is how a send ended.
 type Fate int
 
