--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,77 @@
+// Package api is the REST shape between routers, agents and the release controller: the JSON of releases, their
+// votes and their watch. Times are milliseconds, shares numbers from 0 to 1.
+//
+//	GET  /v1/releases                          all releases, the newest last
+//	GET  /v1/releases/{build}                  one
+//	GET  /v1/watch?router=NAME                 server-sent events: news, counts, complaint; resumed by Last-Event-ID
+//	PUT  /v1/releases/{build}/votes/{router}   a vote; 200 counted, 409 moot, 429 too many
+//	POST /v1/complaints                        a client found an answer wrong
+package api
+
+import (
+	"fmt"
+
+	"dapplefront/logic"
+)
+
+// Names of the watch's events.
+const (
+	EventNews      = "news"
+	EventCounts    = "counts"
+	EventComplaint = "complaint"
+)
+
+// Release is where a release stands.
+type Release struct {
+	Build   int     `json:"build"`
+	Stage   int     `json:"stage"`
+	Phase   string  `json:"phase"` // trial, going-back, released, withdrawn
+	Cap     float64 `json:"cap"`
+	AgeMs   int64   `json:"ageMs"` // since this state began
+	Version int64   `json:"version"`
+}
+
+// Counts is what was counted of one build and category.
+type Counts struct {
+	Build    int     `json:"build"`
+	Category string  `json:"category"`
+	Bad      int     `json:"bad"`
+	Samples  int     `json:"samples"`
+	MeanMs   float64 `json:"meanMs"`
+	AgeMs    int64   `json:"ageMs"`
+}
+
+// Complaint is a client's word that an answer was wrong.
+type Complaint struct {
+	Router   string `json:"router"`
+	Host     uint32 `json:"host"`
+	Category string `json:"category"`
+	AgeMs    int64  `json:"ageMs"` // since the task was sent
+}
+
+// Vote is a router's word on a build.
+type Vote struct {
+	Stage int    `json:"stage"`
+	Voice string `json:"voice"` // on, hold, back, none
+}
+
+// Phases and voices by their names, in the order of logic's constants.
+var (
+	Phases = []string{"trial", "going-back", "released", "withdrawn"}
+	Voices = []string{"none", "on", "hold", "back"}
+)
+
+// News is a release in the module's words.
+func (r Release) News() (logic.News, error) {
+	for i, name := range Phases {
+		if name != r.Phase {
+			continue
+		}
+		if r.Build < 1 || r.Stage < 0 || !(r.Cap >= 0 && r.Cap <= 1) || r.AgeMs < 0 {
+			break
+		}
+		return logic.News{Build: r.Build, Stage: r.Stage, Phase: logic.Phase(i), Cap: r.Cap,
+			Age: logic.Time(r.AgeMs) * 10}, nil
+	}
+	return logic.News{}, fmt.Errorf("news of a release that makes no sense: %+v", r)
+}
--- /dev/null
+++ b/internal/back/back.go
@@ -0,0 +1,428 @@
+// Package back is the hosts' side of a router: it keeps connections to hosts, sends tasks over them and knows how
+// each send ended. One connection carries one task at a time, so that what a host's silence or a cut means is never
+// mixed up between tasks.
+//
+// The fates, by what surely happened:
+//
+//	NeverSent   no byte was handed to the kernel: the task was withheld, or the connection refused the first write
+//	NoLink      no connection in time, or none allowed
+//	Finished    an answer below 500
+//	TurnedBack  503 with Dapplefront-Unseen: 1
+//	Errored     any other answer from 500, or one that is no HTTP or larger than the limit
+//	NoAnswer    written, and silence until the time was up
+//	Cut         written, and the connection ended before the answer was whole
+//
+// A host that closes an idle connection while a task is being written on it is told apart so: where its end has
+// already arrived, the connection is dropped before the write and another one is used; where the write fails with no
+// byte taken, the task never left. Once the kernel has taken a byte nobody on this side can know whether the host
+// read it, so that is a Cut.
+package back
+
+import (
+	"sync"
+	"time"
+
+	"dapplefront/internal/http1"
+	"dapplefront/internal/loop"
+	"dapplefront/internal/orca"
+	"dapplefront/internal/sock"
+	"dapplefront/logic"
+)
+
+// Unseen is the field by which a host says that it has not looked at the task it turns back.
+const Unseen = "Dapplefront-Unseen"
+
+// Reach is what a pool is told of links.
+type Reach struct {
+	Connect time.Duration // how long a connection may take
+	Idle    time.Duration // how long one is kept without a task
+	Links   int           // to one host, at the most
+	Bounds  http1.Bounds  // of an answer
+}
+
+// Result is how a send ended.
+type Result struct {
+	Fate   logic.Fate
+	Took   logic.Time
+	Answer *http1.Message // with Finished, Errored and TurnedBack, where the host gave one; Drop it after use
+	Load   *logic.Load
+	Why    string // for the log, where something went wrong
+}
+
+// Pool keeps the connections to all hosts. Its methods are called from its loop's work only.
+type Pool struct {
+	loop   *loop.Loop
+	engine *sock.Engine
+	reach  Reach
+	budget *http1.Budget
+	hosts  map[uint32]*host
+	closed bool
+}
+
+type host struct {
+	id      uint32
+	address string
+	idle    []*link
+	links   int // open or being opened
+}
+
+// NewPool keeps connections on an engine; answers hold bytes of the budget.
+func NewPool(l *loop.Loop, e *sock.Engine, reach Reach, budget *http1.Budget) *Pool {
+	p := &Pool{loop: l, engine: e, reach: reach, budget: budget, hosts: map[uint32]*host{}}
+	p.sweepLater()
+	return p
+}
+
+// Place says where a host is. Links to another address are used no more.
+func (p *Pool) Place(id uint32, address string) {
+	h := p.hosts[id]
+	if h == nil {
+		p.hosts[id] = &host{id: id, address: address}
+	} else if h.address != address {
+		h.address = address
+		h.dropIdle(func(*link) bool { return true })
+	}
+}
+
+// Leave closes the idle links to a host that is gone, and forgets it.
+func (p *Pool) Leave(id uint32) {
+	if h := p.hosts[id]; h != nil {
+		h.dropIdle(func(*link) bool { return true })
+		delete(p.hosts, id)
+	}
+}
+
+// Links is how many connections are open or being opened, in all.
+func (p *Pool) Links() (n int) {
+	for _, h := range p.hosts {
+		n += h.links
+	}
+	return n
+}
+
+// Close ends all idle links and refuses further sends; those out end as they may.
+func (p *Pool) Close() {
+	p.closed = true
+	for _, h := range p.hosts {
+		h.dropIdle(func(*link) bool { return true })
+	}
+}
+
+func (h *host) dropIdle(is func(*link) bool) {
+	kept := h.idle[:0]
+	for _, l := range h.idle {
+		if is(l) {
+			l.drop()
+		} else {
+			kept = append(kept, l)
+		}
+	}
+	clear(h.idle[len(kept):])
+	h.idle = kept
+}
+
+func (p *Pool) sweepLater() {
+	p.loop.After(logic.Second, func() {
+		now := p.loop.Now()
+		for _, h := range p.hosts {
+			h.dropIdle(func(l *link) bool { return now-l.free > loop.Span(p.reach.Idle) })
+		}
+		if !p.closed {
+			p.sweepLater()
+		}
+	})
+}
+
+// Send is a task on its way to a host.
+type Send struct {
+	pool     *Pool
+	link     *link
+	head     []byte
+	body     []byte
+	bodyless bool
+	at       logic.Time
+	alarm    *loop.Alarm
+	written  bool
+	done     func(Result)
+}
+
+// Send sends head and body, which must stay as they are until done is called, once, from the loop's work and never
+// before Send has returned. bodyless says that the answer has no body (HEAD).
+func (p *Pool) Send(id uint32, head, body []byte, bodyless bool, within logic.Time, done func(Result)) *Send {
+	s := &Send{pool: p, head: head, body: body, bodyless: bodyless, at: p.loop.Now(), done: done}
+	h := p.hosts[id]
+	if h == nil || p.closed || within <= 0 {
+		p.loop.Post(func() { s.end(Result{Fate: logic.NeverSent, Why: "no such host or no time left"}) })
+		return s
+	}
+	s.alarm = p.loop.After(within, s.timeUp)
+	for len(h.idle) > 0 {
+		l := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if !l.conn.Quiet() { // its end, or bytes that no one asked for, have arrived
+			l.drop()
+			continue
+		}
+		s.link, l.send = l, s
+		p.loop.Post(s.write) // so that done never comes before the caller has the Send
+		return s
+	}
+	if h.links >= p.reach.Links {
+		p.loop.Post(func() { s.end(Result{Fate: logic.NoLink, Why: "as many links as are allowed"}) })
+		return s
+	}
+	p.connect(h, s)
+	return s
+}
+
+func (p *Pool) connect(h *host, s *Send) {
+	l := &link{pool: p, host: h, send: s, reader: http1.NewReader(p.reach.Bounds, p.budget, true)}
+	s.link = l
+	h.links++
+	p.engine.Dial(h.address, p.reach.Connect, l, func(c *sock.Conn, err error) {
+		p.loop.Post(func() { l.opened(c, err) })
+	})
+}
+
+// Withhold ends a send as NeverSent if no byte of it has left; otherwise it does nothing.
+func (s *Send) Withhold() {
+	if s.done != nil && !s.written {
+		s.end(Result{Fate: logic.NeverSent, Why: "withheld"})
+	}
+}
+
+// write puts the send on its link, which is open.
+func (s *Send) write() {
+	if s.done == nil || s.link == nil || s.link.send != s {
+		return
+	}
+	l := s.link
+	l.mu.Lock()
+	l.reader.Expect(s.bodyless)
+	l.mu.Unlock()
+	s.written = true
+	var none bool
+	var err error
+	if len(s.body) == 0 {
+		none, err = l.conn.Write(s.head)
+	} else {
+		none, err = l.conn.Write(s.head, s.body)
+	}
+	if err != nil && none {
+		l.send = nil
+		s.end(Result{Fate: logic.NeverSent, Why: "the link was closed: " + err.Error()})
+		l.drop()
+	} // after a part, the link's end follows and tells
+}
+
+func (s *Send) timeUp() {
+	if s.done == nil {
+		return
+	}
+	if !s.written {
+		s.end(Result{Fate: logic.NoLink, Why: "no connection in time"})
+		return
+	}
+	l := s.link
+	l.send = nil
+	s.end(Result{Fate: logic.NoAnswer, Why: "no answer in time"})
+	l.drop() // what still comes is of a send that has ended
+}
+
+// end tells the result, once. A link that is still being opened for it is left to whoever comes next.
+func (s *Send) end(r Result) {
+	if s.done == nil {
+		if r.Answer != nil {
+			r.Answer.Drop()
+		}
+		return
+	}
+	done := s.done
+	s.done = nil
+	s.pool.loop.Stop(s.alarm)
+	if l := s.link; l != nil && l.send == s {
+		l.send = nil
+		if l.conn != nil && !l.gone {
+			l.rest()
+		}
+	}
+	s.head, s.body, s.link = nil, nil, nil
+	r.Took = s.pool.loop.Now() - s.at
+	done(r)
+}
+
+// link is one connection to a host. Its reader belongs to the poller, under mu; all else to the loop.
+type link struct {
+	pool *Pool
+	host *host
+	conn *sock.Conn
+	send *Send
+	free logic.Time // since when it has been idle
+	gone bool
+
+	mu     sync.Mutex
+	reader *http1.Reader
+	ended  bool
+}
+
+func (l *link) opened(c *sock.Conn, err error) {
+	if err != nil {
+		l.leave()
+		if s := l.send; s != nil {
+			l.send = nil
+			s.end(Result{Fate: logic.NoLink, Why: err.Error()})
+		}
+		return
+	}
+	l.conn = c
+	switch {
+	case l.gone: // opened and closed at once; the poller was quicker to tell
+		if s := l.send; s != nil {
+			l.send = nil
+			s.end(Result{Fate: logic.NoLink, Why: "closed as soon as opened"})
+		}
+	case l.send != nil:
+		l.send.write()
+	default:
+		l.rest()
+	}
+}
+
+// rest puts a link aside for the next send.
+func (l *link) rest() {
+	p := l.pool
+	if pending, _ := l.conn.Pending(); pending > 0 || p.closed || l.gone || p.hosts[l.host.id] != l.host {
+		l.drop()
+		return
+	}
+	l.free = p.loop.Now()
+	l.host.idle = append(l.host.idle, l)
+}
+
+func (l *link) leave() {
+	if !l.gone {
+		l.gone = true
+		l.host.links--
+	}
+}
+
+func (l *link) drop() {
+	l.leave()
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+// Data reads what a host sends (sock.Session).
+func (l *link) Data(data []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !l.ended {
+		n, event, err := l.reader.Read(data)
+		data = data[n:]
+		if err != nil {
+			l.ended = true
+			l.reader.Drop()
+			l.pool.loop.Post(func() { l.broken(err) })
+			return
+		}
+		if event == http1.More {
+			return
+		}
+		if event != http1.Whole {
+			continue
+		}
+		m := l.reader.Take()
+		if m.Status < 200 && m.Status != 101 { // on the way to an answer
+			continue
+		}
+		more := len(data) > 0 // nothing was asked that this could answer
+		l.pool.loop.Post(func() { l.answered(m, more) })
+		return
+	}
+}
+
+// Wrote is of no interest here (sock.Session).
+func (l *link) Wrote(int) {}
+
+// Closed tells the loop that the connection has ended (sock.Session).
+func (l *link) Closed(err error) {
+	l.mu.Lock()
+	var m *http1.Message
+	if !l.ended && l.reader.Ended() {
+		m = l.reader.Take()
+	}
+	l.ended = true
+	l.reader.Drop()
+	l.mu.Unlock()
+	l.pool.loop.Post(func() {
+		l.leave()
+		if m != nil {
+			l.answered(m, true)
+		}
+		why := "the host closed the connection"
+		if err != nil {
+			why = err.Error()
+		}
+		if s := l.send; s != nil && l.conn != nil {
+			l.send = nil
+			if s.written {
+				s.end(Result{Fate: logic.Cut, Why: why})
+			} else {
+				s.end(Result{Fate: logic.NeverSent, Why: why})
+			}
+			return
+		}
+		l.host.dropIdle(func(x *link) bool { return x == l })
+	})
+}
+
+func (l *link) broken(err error) {
+	s := l.send
+	l.send = nil
+	l.drop()
+	if s != nil {
+		s.end(Result{Fate: logic.Errored, Why: "the answer is not to be read: " + err.Error()})
+	}
+}
+
+func (l *link) answered(m *http1.Message, last bool) {
+	s := l.send
+	if s == nil || !s.written { // an answer to nothing
+		m.Drop()
+		l.host.dropIdle(func(x *link) bool { return x == l })
+		l.drop()
+		if s != nil {
+			l.send = nil
+			s.end(Result{Fate: logic.NeverSent, Why: "an answer came before the task was sent"})
+		}
+		return
+	}
+	l.send = nil
+	r := Result{Fate: logic.Finished, Answer: m}
+	switch unseen, _ := m.Lookup(Unseen); {
+	case m.Status == 503 && unseen == "1":
+		r.Fate = logic.TurnedBack
+	case m.Status >= 500 || m.Status == 101:
+		r.Fate = logic.Errored
+	}
+	if text, ok := m.Lookup(orca.Header); ok {
+		if report, err := orca.Parse(text); err == nil {
+			r.Load = orca.Load(report)
+		} else {
+			r.Why = err.Error()
+		}
+	} else if text, ok := m.Lookup(orca.BinHeader); ok {
+		if report, err := orca.ParseBin(text); err == nil {
+			r.Load = orca.Load(report)
+		} else {
+			r.Why = err.Error()
+		}
+	}
+	if last || m.Closes() || l.gone {
+		l.drop()
+	} else {
+		l.rest()
+	}
+	s.end(r)
+}
--- /dev/null
+++ b/internal/charter/charter.go
@@ -0,0 +1,156 @@
+// Package charter is all that a router process is told at start: who it is, whom it serves, what the rules' figures
+// are. It is read from an INI file and checked as a whole.
+package charter
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"dapplefront/internal/back"
+	"dapplefront/internal/front"
+	"dapplefront/internal/http1"
+	"dapplefront/internal/loop"
+	"dapplefront/internal/sheet"
+	"dapplefront/logic"
+	"dapplefront/router"
+)
+
+// Charter is what one router process is told.
+type Charter struct {
+	Name     string
+	Listen   string
+	LastList string        // the file of the last host list; empty for none
+	Drain    time.Duration // how long tasks held may take after a signal to end
+	Held     int           // bytes of bodies, in all
+	Place    router.Place
+	Welcome  front.Welcome
+	Reach    back.Reach
+	Register Register
+	Desk     Desk
+}
+
+// Register is where the host list is.
+type Register struct {
+	Address string   // of the xDS service
+	Names   []string // of the endpoint resources
+	Changes bool     // asks for changes in place of whole lists
+}
+
+// Desk is where the release desk is.
+type Desk struct {
+	URL  string
+	Over time.Duration // the span of its counts
+}
+
+// Read reads a router's charter from a file.
+func Read(file string) (*Charter, error) {
+	s := sheet.Read(file)
+	c := From(s)
+	return c, s.Done()
+}
+
+// From reads a router's charter; mistakes are kept by the sheet.
+func From(s *sheet.Sheet) *Charter {
+	c := &Charter{}
+	p := s.Part("router")
+	c.Name, c.Listen, c.LastList = p.Text("name", "!"), p.Address("listen", "127.0.0.1:8080"), p.Text("last-list", "")
+	c.Drain = p.Span("drain", "10s")
+	c.Place = router.Place{Seed: p.Seed("seed", "1"), Routers: p.Whole("routers", "1", 1, 100_000),
+		Rank: p.Whole("rank", "0", 0, 99_999), Location: p.Text("location", "!")}
+	if c.Place.Rank >= c.Place.Routers {
+		p.Wrong("rank", "rank = %d: less than routers (%d) expected", c.Place.Rank, c.Place.Routers)
+	}
+	if strings.ContainsAny(c.Name, " ,\t") {
+		p.Wrong("name", "name = %s: a name without spaces and commas expected", c.Name)
+	}
+	p = s.Part("clients")
+	c.Held = p.Bytes("held", "256MiB")
+	c.Welcome = front.Welcome{Name: c.Name, Slow: p.Span("slow", "10s"), Idle: p.Span("idle", "60s"),
+		Links: p.Whole("links", "20000", 1, 1<<20), AtOnce: p.Whole("at-once", "16", 1, 1024),
+		Bounds: http1.Bounds{Head: p.Bytes("largest-head", "16KiB"), Body: p.Bytes("largest-body", "1MiB")}}
+	if c.Held < 2*c.Welcome.Bounds.Body {
+		p.Wrong("held", "held: at least twice largest-body expected")
+	}
+	most := p.Whole("open", "20000", 1, 1<<24)
+
+	p = s.Part("hosts")
+	c.Reach = back.Reach{Connect: p.Span("connect", "250ms"), Idle: p.Span("idle", "15s"),
+		Links:  p.Whole("links", "250", 1, 65_000),
+		Bounds: http1.Bounds{Head: p.Bytes("largest-head", "16KiB"), Body: p.Bytes("largest-answer", "1MiB")}}
+
+	p = s.Part("register")
+	c.Register = Register{Address: p.Address("address", "!"), Names: p.List("names", "!"),
+		Changes: p.OneOf("ask", "changes", "changes", "whole") == "changes"}
+	askWithin := p.Span("ask-within", "10s")
+
+	p = s.Part("rules")
+	c.Place.Limits = logic.Limits{Grace: loop.Span(p.Span("grace", "2s")), Cold: loop.Span(p.Span("cold", "5s")),
+		ColdShare: p.Share("cold-share", "33%"), Tip: p.Number("tip", "3", 1, 100),
+		TipFor: loop.Span(p.Span("tip-for", "2s")), AskWithin: loop.Span(askWithin),
+		MaxSends: p.Whole("most-sends", "4", 1, 16), MaxOpen: most, TwoAtOnce: p.Switch("two-at-once", "on"),
+		LongestStay: loop.Span(p.Span("longest-stay", "2s")),
+		CrossPrice:  p.Number("cross-price", "0.02", 0, 1), WastePrice: p.Number("waste-price", "0.03", 0, 1),
+		OverShare: p.Share("over-share", "10%")}
+
+	c.desk(s.Part("desk"))
+	c.kinds(s)
+	return c
+}
+
+func (c *Charter) desk(p sheet.Part) {
+	c.Desk.URL = p.Text("url", "!")
+	if c.Desk.URL != "" && !strings.HasPrefix(c.Desk.URL, "http://") && !strings.HasPrefix(c.Desk.URL, "https://") {
+		p.Wrong("url", "url = %s: http://HOST:PORT expected", c.Desk.URL)
+	}
+	d := logic.Desk{
+		Control: map[string]logic.Control{"share": logic.ShareOfVotes, "clock": logic.Clock}[p.OneOf("control",
+			"share", "share", "any", "clock")],
+		Caps:      p.Shares("caps", "4%, 15%, 50%, 100%"),
+		LeastTime: loop.Span(p.Span("least-time", "2s")), ClockTime: loop.Span(p.Span("clock-time", "10s")),
+		ToMoveOn: p.Whole("to-move-on", "1", 1, 100_000), ToAbort: p.Whole("to-abort", "1", 1, 100_000),
+		VoteLife: loop.Span(p.Span("vote-life", "10s")), VoteTimeout: loop.Span(p.Span("vote-timeout", "2s")),
+		VotesASecond: p.Number("votes-a-second", "30", 0.1, 1e6), Window: loop.Span(p.Span("window", "4s")),
+		Free: p.Number("free", "2", 0, 1e6), ByCategory: p.Switch("by-category", "off"),
+		Guarded: p.Whole("guarded-stages", "1", 0, 100), KeysStay: p.Switch("keys-stay", "off"),
+		DelayPrice: p.Number("delay-price", "0.35", 0, 100), HarmPrice: p.Number("harm-price", "5", 0, 100),
+		Complaints: p.Share("complaints", "0%"), Counted: p.Share("counted", "0%")}
+	c.Desk.Over = p.Span("counts-over", "2s")
+	if slices.ContainsFunc(d.Caps, func(v float64) bool { return v == 0 }) || !slices.IsSorted(d.Caps) {
+		p.Wrong("caps", "caps: shares above 0%%, none smaller than the one before, expected")
+	}
+	c.Place.Desk = d
+}
+
+func (c *Charter) kinds(s *sheet.Sheet) {
+	parts, names := s.Parts("category")
+	for i, p := range parts {
+		repeat := p.OneOf("repeat", "!", "retriable", "fingerprinted", "binding")
+		k := router.Category{Name: names[i], Promised: loop.Span(p.Span("promised", "!")),
+			Earnings: p.Number("earnings", "1", 0, 1e9), LateShare: p.Share("late-share", "0%"),
+			Repeat: map[string]logic.Repeat{"fingerprinted": logic.Fingerprinted, "binding": logic.Binding}[repeat],
+			Group: map[string]logic.Group{"location": logic.SameLocation, "cell": logic.SameCell}[p.OneOf("group",
+				"everywhere", "everywhere", "location", "cell")]}
+		if repeat == "fingerprinted" {
+			k.Memory = loop.Span(p.Span("memory", "!"))
+		}
+		patience := loop.Span(p.Span("patience", "!"))
+		if patience < k.Promised {
+			p.Wrong("patience", "patience: at least the promised time expected")
+		}
+		c.Place.Categories = append(c.Place.Categories, k)
+		c.Welcome.Kinds = append(c.Welcome.Kinds, front.Kind{Name: names[i], Paths: p.List("paths", ""),
+			Patience: patience, Marked: repeat == "fingerprinted"})
+	}
+	if len(parts) == 0 {
+		s.Part("router").Wrong("", "a section [category NAME] is missing")
+	}
+	parts, names = s.Parts("customer")
+	for i, p := range parts {
+		c.Place.Customers = append(c.Place.Customers, router.Customer{Name: names[i],
+			PerSecond: p.Number("per-second", "!", 0.001, 1e9)})
+		for _, n := range p.Networks("networks", "") {
+			c.Welcome.Networks = append(c.Welcome.Networks, front.Network{Prefix: n, Customer: names[i]})
+		}
+	}
+}
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,235 @@
+// Package desk is a router's link to the release controller: the watch of releases, counts and complaints by
+// server-sent events, and votes. It decides nothing: what the desk tells goes to the router's mind, which votes.
+package desk
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"dapplefront/internal/api"
+	"dapplefront/logic"
+)
+
+// Hear is what the link tells, from goroutines of its own.
+type Hear struct {
+	Release   func(logic.News)
+	Counts    func(api.Counts)
+	Complaint func(api.Complaint)
+	Trouble   func(error) // the watch broke or an event made no sense; the watch is taken up again by itself
+}
+
+// Link is one router's link.
+type Link struct {
+	url    string
+	name   string
+	within time.Duration
+	hear   Hear
+	http   *http.Client
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+const (
+	soonest = 100 * time.Millisecond // before a broken watch is taken up again, then twice as long each time
+	latest  = 3 * time.Second        // a desk that is back is heard of within this
+	silence = 20 * time.Second       // several times what a desk repeats its news in
+	largest = 64 << 10               // bytes of an event; the largest is some hundred
+)
+
+// Open starts the watch. within is how long a vote waits for its reply.
+func Open(base, name string, within time.Duration, hear Hear) *Link {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Link{url: strings.TrimSuffix(base, "/"), name: name, within: within, hear: hear, stop: stop,
+		done: make(chan struct{}),
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: (&net.Dialer{
+			Timeout: within}).DialContext}}}
+	go l.watch(ctx)
+	return l
+}
+
+// Close ends the link and waits for the watch to end. Votes under way end by themselves.
+func (l *Link) Close() {
+	l.stop()
+	<-l.done
+	l.http.CloseIdleConnections()
+}
+
+func (l *Link) watch(ctx context.Context) {
+	defer close(l.done)
+	wait, last := soonest, ""
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := l.follow(ctx, &last)
+		if ctx.Err() != nil {
+			return
+		}
+		l.hear.Trouble(fmt.Errorf("the desk's watch ended: %w", err))
+		if time.Since(began) > latest {
+			wait = soonest
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait/2 + rand.N(wait)): // routers must not all come at once
+		}
+		wait = min(2*wait, latest)
+	}
+}
+
+// follow reads one watch to its end (the WHATWG's event stream format).
+func (l *Link) follow(ctx context.Context, last *string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ask, err := http.NewRequestWithContext(ctx, "GET", l.url+"/v1/watch?router="+url.QueryEscape(l.name), nil)
+	if err != nil {
+		return err
+	}
+	ask.Header.Set("Accept", "text/event-stream")
+	if *last != "" {
+		ask.Header.Set("Last-Event-ID", *last)
+	}
+	quiet := time.AfterFunc(silence, cancel)
+	defer quiet.Stop()
+	got, err := l.http.Do(ask)
+	if err != nil {
+		return err
+	}
+	defer got.Body.Close()
+	if got.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s", got.Status)
+	}
+	lines := bufio.NewScanner(got.Body)
+	lines.Buffer(make([]byte, 4096), largest)
+	var event, id string
+	var data bytes.Buffer
+	for lines.Scan() {
+		quiet.Reset(silence)
+		name, value, _ := strings.Cut(lines.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch {
+		case lines.Text() == "":
+			if data.Len() > 0 {
+				if err := l.tell(event, bytes.TrimSuffix(data.Bytes(), []byte("\n"))); err != nil {
+					l.hear.Trouble(err)
+				}
+			}
+			if id != "" {
+				*last = id
+			}
+			event, id = "", ""
+			data.Reset()
+		case name == "event":
+			event = value
+		case name == "id":
+			id = value
+		case name == "data":
+			if data.Len()+len(value) > largest {
+				return errors.New("an event is too large")
+			}
+			data.WriteString(value)
+			data.WriteByte('\n')
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+func (l *Link) tell(event string, data []byte) error {
+	switch event {
+	case api.EventNews:
+		var r api.Release
+		if err := json.Unmarshal(data, &r); err != nil {
+			return fmt.Errorf("event %s: %w", event, err)
+		}
+		n, err := r.News()
+		if err != nil {
+			return err
+		}
+		l.hear.Release(n)
+	case api.EventCounts:
+		var c api.Counts
+		if err := json.Unmarshal(data, &c); err != nil {
+			return fmt.Errorf("event %s: %w", event, err)
+		}
+		if c.Bad < 0 || c.Samples < c.Bad || c.MeanMs < 0 || c.AgeMs < 0 {
+			return fmt.Errorf("counts that make no sense: %s", data)
+		}
+		l.hear.Counts(c)
+	case api.EventComplaint:
+		var c api.Complaint
+		if err := json.Unmarshal(data, &c); err != nil {
+			return fmt.Errorf("event %s: %w", event, err)
+		}
+		if c.AgeMs < 0 {
+			return fmt.Errorf("a complaint that makes no sense: %s", data)
+		}
+		l.hear.Complaint(c)
+	}
+	return nil // others are of newer desks
+}
+
+// Vote casts a vote in the background and calls done once with what became of it.
+func (l *Link) Vote(build, stage int, voice logic.Voice, done func(logic.News)) {
+	go func() {
+		n, err := l.vote(build, stage, voice)
+		if err != nil {
+			l.hear.Trouble(fmt.Errorf("a vote on build %d: %w", build, err))
+		}
+		done(n)
+	}()
+}
+
+func (l *Link) vote(build, stage int, voice logic.Voice) (logic.News, error) {
+	moot := func(a logic.Answer, err error) (logic.News, error) {
+		return logic.News{Build: build, Stage: stage, Answer: a}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), l.within)
+	defer cancel()
+	body, err := json.Marshal(api.Vote{Stage: stage, Voice: api.Voices[voice]})
+	if err != nil {
+		return moot(logic.Refused, err)
+	}
+	ask, err := http.NewRequestWithContext(ctx, "PUT", fmt.Sprintf("%s/v1/releases/%d/votes/%s", l.url, build,
+		url.PathEscape(l.name)), bytes.NewReader(body))
+	if err != nil {
+		return moot(logic.Refused, err)
+	}
+	ask.Header.Set("Content-Type", "application/json")
+	got, err := l.http.Do(ask)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return moot(logic.Refused, err) // it never reached the desk
+		}
+		return moot(logic.Unclear, err)
+	}
+	defer got.Body.Close()
+	switch {
+	case got.StatusCode == http.StatusConflict || got.StatusCode == http.StatusNotFound:
+		return moot(logic.Moot, nil)
+	case got.StatusCode != http.StatusOK:
+		return moot(logic.Refused, fmt.Errorf("status %s", got.Status))
+	}
+	var r api.Release
+	if err := json.NewDecoder(io.LimitReader(got.Body, largest)).Decode(&r); err != nil {
+		return moot(logic.Unclear, err) // accepted, by its status; but where the release stands is not known
+	}
+	n, err := r.News()
+	if err != nil {
+		return moot(logic.Unclear, err)
+	}
+	n.Answer = logic.Counted
+	return n, nil
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,318 @@
+// Package front is the clients' side of a router: it takes tasks as HTTP/1.1 and gives their answers. What a request
+// says of itself is read here and nowhere else:
+//
+//	category   Dapplefront-Category, else by the longest path prefix
+//	customer   Dapplefront-Customer, else by the client's network, the longest prefix
+//	patience   Dapplefront-Patience ("240ms", or milliseconds), at most the category's own, which is also the default;
+//	           counted from the request's first byte
+//	mark       Idempotency-Key (draft-ietf-httpapi-idempotency-key-header); fingerprinted tasks must bear one
+//	key        Dapplefront-Key: what the task concerns
+//	hint       Dapplefront-Work: expected work ("12ms")
+//	repeat     Dapplefront-Again: 1
+//
+// Every answer says in Dapplefront-Outcome what became of the task: finished, turned-back (trying again is
+// harmless; Retry-After says when) or scrapped (nothing is promised). A request that is not taken as a task, because
+// it is malformed, too large or of no category, is answered without that field.
+package front
+
+import (
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gaissmai/bart"
+
+	"dapplefront/internal/http1"
+	"dapplefront/internal/loop"
+	"dapplefront/internal/sock"
+	"dapplefront/logic"
+)
+
+// Kind is a category as clients meet it.
+type Kind struct {
+	Name     string
+	Paths    []string // prefixes of targets
+	Patience logic.Time
+	Marked   bool // its tasks must bear a mark
+}
+
+// Network is where a customer's clients are.
+type Network struct {
+	Prefix   netip.Prefix
+	Customer string
+}
+
+// Welcome is what a door is told of those who come.
+type Welcome struct {
+	Kinds    []Kind
+	Networks []Network
+	Bounds   http1.Bounds
+	Slow     time.Duration // how long a request may take to arrive, and an answer to be read
+	Idle     time.Duration // how long a connection is kept without a task
+	Links    int           // open connections, at the most
+	AtOnce   int           // requests of one connection that are worked on at once
+	Name     string        // of the router, for the Via field
+}
+
+// Call is a request that has come to the door as a task.
+type Call struct {
+	Request  *http1.Message
+	Category string
+	Customer string
+	Mark     string
+	Key      string
+	Patience logic.Time // from the moment the door hands it in
+	Hint     logic.Time
+	Again    bool
+	From     netip.Addr
+
+	// Left is called from the loop's work when the client has gone before the answer. Whoever takes a Call sets it.
+	Left func()
+
+	slot *slot
+}
+
+// Door takes requests on an engine's listeners. Its methods are called from its loop's work only.
+type Door struct {
+	loop     *loop.Loop
+	welcome  Welcome
+	budget   *http1.Budget
+	take     func(*Call)
+	kinds    map[string]*Kind
+	paths    []path // longest first
+	networks *bart.Table[string]
+	guests   map[*guest]bool
+	open     int // slots without an answer
+	closing  bool
+}
+
+type path struct {
+	prefix string
+	kind   *Kind
+}
+
+// NewDoor hands tasks to take, from the loop's work. Whoever takes a Call owns its request from then on, and drops it
+// when no send needs its body any more.
+func NewDoor(l *loop.Loop, w Welcome, budget *http1.Budget, take func(*Call)) *Door {
+	d := &Door{loop: l, welcome: w, budget: budget, take: take, kinds: map[string]*Kind{},
+		networks: new(bart.Table[string]), guests: map[*guest]bool{}}
+	for i := range w.Kinds {
+		k := &w.Kinds[i]
+		d.kinds[k.Name] = k
+		for _, p := range k.Paths {
+			d.paths = append(d.paths, path{p, k})
+		}
+	}
+	slices.SortStableFunc(d.paths, func(a, b path) int { return len(b.prefix) - len(a.prefix) })
+	for _, n := range w.Networks {
+		d.networks.Insert(n.Prefix, n.Customer)
+	}
+	d.sweepLater()
+	return d
+}
+
+// Close ends idle connections and turns back what comes on others; Open tells when all is answered.
+func (d *Door) Close() {
+	d.closing = true
+	for g := range d.guests {
+		if n := len(g.slots); n > 0 {
+			g.slots[n-1].closes = true
+		} else {
+			g.conn.Close()
+		}
+	}
+}
+
+// Open is how many requests wait for their answer.
+func (d *Door) Open() int { return d.open }
+
+// Guests is how many connections are open.
+func (d *Door) Guests() int { return len(d.guests) }
+
+// Enter is the session of a new connection (for sock.Engine.Listen).
+func (d *Door) Enter(c *sock.Conn) sock.Session {
+	g := &guest{door: d, conn: c, reader: http1.NewReader(d.welcome.Bounds, d.budget, false)}
+	if a, ok := c.Remote().(*net.TCPAddr); ok {
+		g.from = a.AddrPort().Addr().Unmap()
+	}
+	g.heard.Store(int64(d.loop.Now()))
+	d.loop.Post(func() {
+		if d.closing || len(d.guests) >= d.welcome.Links {
+			c.Close()
+			return
+		}
+		d.guests[g] = true
+	})
+	return g
+}
+
+// sweepLater closes connections that are idle, and those that are too slow, once a second.
+func (d *Door) sweepLater() {
+	d.loop.After(logic.Second, func() {
+		now, slow := d.loop.Now(), loop.Span(d.welcome.Slow)
+		for g := range d.guests {
+			heard, begun := logic.Time(g.heard.Load()), logic.Time(g.begun.Load())
+			_, since := g.conn.Pending()
+			switch {
+			case g.leaving != 0 && now-g.leaving > 2*logic.Second || // time to read the answer that it was sent
+				!since.IsZero() && time.Since(since) > d.welcome.Slow:
+				g.conn.Close()
+			case begun != 0 && now-begun > slow:
+				g.refuse(&http1.Bad{Status: 408, Text: "the request took too long to arrive"})
+			case begun == 0 && len(g.slots) == 0 && now-heard > loop.Span(d.welcome.Idle):
+				g.conn.Close()
+			}
+		}
+		d.sweepLater()
+	})
+}
+
+// called reads what a request says of itself; the task must be answered by patience from begun on.
+func (d *Door) called(g *guest, m *http1.Message, begun logic.Time) {
+	s := &slot{guest: g, closes: m.Closes() || d.closing, headless: m.Method == "HEAD"}
+	g.slots = append(g.slots, s)
+	d.open++
+	c, wrong := d.read(g, m, begun)
+	switch {
+	case wrong != nil:
+		m.Drop()
+		s.refuse(wrong)
+	case d.closing:
+		m.Drop()
+		c.TurnBack(0, "this router is closing")
+	case len(g.slots) > d.welcome.AtOnce:
+		m.Drop()
+		c.TurnBack(logic.Second/10, "too many requests at once on one connection")
+	default:
+		c.slot, s.call = s, c
+		d.take(c)
+	}
+}
+
+func (d *Door) read(g *guest, m *http1.Message, begun logic.Time) (*Call, *http1.Bad) {
+	c := &Call{Request: m, Left: func() {}, slot: g.slots[len(g.slots)-1], From: g.from}
+	var kind *Kind
+	var patience, work, again string
+	for i := range m.Fields {
+		f := &m.Fields[i]
+		if len(f.Name) < len("Dapplefront-Key") || (f.Name[0]|0x20) != 'd' && (f.Name[0]|0x20) != 'i' {
+			continue
+		}
+		switch {
+		case strings.EqualFold(f.Name, "Dapplefront-Category"):
+			if kind = d.kinds[f.Value]; kind == nil {
+				return nil, &http1.Bad{Status: 400, Text: "Dapplefront-Category names none of the categories served here"}
+			}
+		case strings.EqualFold(f.Name, "Dapplefront-Customer"):
+			c.Customer = f.Value
+		case strings.EqualFold(f.Name, "Dapplefront-Patience"):
+			patience = f.Value
+		case strings.EqualFold(f.Name, "Dapplefront-Work"):
+			work = f.Value
+		case strings.EqualFold(f.Name, "Dapplefront-Key"):
+			c.Key = f.Value
+		case strings.EqualFold(f.Name, "Dapplefront-Again"):
+			again = f.Value
+		case strings.EqualFold(f.Name, "Idempotency-Key"):
+			c.Mark = f.Value
+		}
+	}
+	for i := 0; kind == nil && i < len(d.paths); i++ {
+		if strings.HasPrefix(m.Target, d.paths[i].prefix) {
+			kind = d.paths[i].kind
+		}
+	}
+	if kind == nil {
+		return nil, &http1.Bad{Status: 404, Text: "no category has this path"}
+	}
+	if kind.Marked && c.Mark == "" {
+		return nil, &http1.Bad{Status: 400, Text: "tasks of the category " + kind.Name + " need an Idempotency-Key"}
+	}
+	c.Category, c.Again, c.Patience = kind.Name, again == "1", kind.Patience
+	if patience != "" {
+		span, ok := readSpan(patience)
+		if !ok || span <= 0 {
+			return nil, &http1.Bad{Status: 400, Text: "Dapplefront-Patience is not a time above 0 such as 240ms"}
+		}
+		c.Patience = min(span, kind.Patience) // more than its category's is not believed
+	}
+	if work != "" {
+		span, ok := readSpan(work)
+		if !ok || span < 0 {
+			return nil, &http1.Bad{Status: 400, Text: "Dapplefront-Work is not a time such as 12ms"}
+		}
+		c.Hint = span
+	}
+	c.Patience -= d.loop.Now() - begun
+	if c.Customer == "" {
+		c.Customer, _ = d.networks.Lookup(g.from)
+	}
+	return c, nil
+}
+
+// readSpan reads a time with its unit, or whole milliseconds.
+func readSpan(s string) (logic.Time, bool) {
+	if n, err := strconv.ParseUint(s, 10, 32); err == nil {
+		return logic.Time(n) * 10, true
+	}
+	d, err := time.ParseDuration(s)
+	return loop.Span(d), err == nil && d < time.Hour*24*365
+}
+
+// Finish answers with what a host said. host is the host's id.
+func (c *Call) Finish(m *http1.Message, host uint32) {
+	head := make([]byte, 0, 512)
+	head = appendStatus(head, m.Status, m.Reason)
+	head = m.AppendFields(head, ours)
+	head = http1.AppendField(head, "Dapplefront-Outcome", "finished")
+	head = http1.AppendField(head, "Dapplefront-Host", strconv.FormatUint(uint64(host), 10))
+	if m.Status == 204 || m.Status == 304 || c.slot.headless {
+		if v, ok := m.Lookup("Content-Length"); ok && m.Status != 204 {
+			head = http1.AppendField(head, "Content-Length", v)
+		}
+		c.slot.answer(append(head, c.slot.ending()...), nil)
+		return
+	}
+	head = append(head, "Content-Length: "...)
+	head = strconv.AppendInt(head, int64(len(m.Body)), 10)
+	head = append(head, '\r', '\n')
+	c.slot.answer(append(head, c.slot.ending()...), m.Body)
+}
+
+// ours are the fields that only this side may set.
+func ours(name string) bool {
+	return len(name) == len("Dapplefront-Outcome") && strings.EqualFold(name, "Dapplefront-Outcome") ||
+		len(name) == len("Dapplefront-Host") && strings.EqualFold(name, "Dapplefront-Host")
+}
+
+// TurnBack answers that trying again is harmless, best after stay.
+func (c *Call) TurnBack(stay logic.Time, why string) {
+	head := appendStatus(make([]byte, 0, 256), 503, "Service Unavailable")
+	head = http1.AppendField(head, "Dapplefront-Outcome", "turned-back")
+	if stay > 0 {
+		head = http1.AppendField(head, "Retry-After", strconv.FormatInt(int64((stay+logic.Second-1)/logic.Second), 10))
+		head = http1.AppendField(head, "Dapplefront-Retry-After-Ms", strconv.FormatInt(int64(stay/10), 10))
+	}
+	c.slot.text(head, why)
+}
+
+// Scrap answers that nothing is promised; late says that the time was up.
+func (c *Call) Scrap(late bool) {
+	status, reason, why := 502, "Bad Gateway", "the task may have run or not"
+	if late {
+		status, reason, why = 504, "Gateway Timeout", "no answer in time; the task may have run or not"
+	}
+	head := appendStatus(make([]byte, 0, 256), status, reason)
+	c.slot.text(http1.AppendField(head, "Dapplefront-Outcome", "scrapped"), why)
+}
+
+func appendStatus(to []byte, status int, reason string) []byte {
+	to = append(to, "HTTP/1.1 "...)
+	to = strconv.AppendInt(to, int64(status), 10)
+	to = append(to, ' ')
+	to = append(to, reason...)
+	return append(to, '\r', '\n')
+}
--- /dev/null
+++ b/internal/front/guest.go
@@ -0,0 +1,216 @@
+package front
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"dapplefront/internal/http1"
+	"dapplefront/internal/sock"
+	"dapplefront/logic"
+)
+
+// guest is one client's connection. Its reader belongs to the poller, under mu; its slots to the loop.
+type guest struct {
+	door  *Door
+	conn  *sock.Conn
+	from  netip.Addr
+	heard atomic.Int64 // when the last byte came
+	begun atomic.Int64 // when the first byte of the request in hand came; 0 while there is none
+	owed  atomic.Int64 // requests without an answer
+
+	mu     sync.Mutex
+	reader *http1.Reader
+	deaf   bool // nothing more is read
+
+	slots   []*slot // in the order of the requests
+	leaving logic.Time
+	gone    bool
+}
+
+// slot is where one request's answer goes; answers leave in the order of the requests.
+type slot struct {
+	guest    *guest
+	call     *Call // nil once it is answered, or where no task was made of it
+	head     []byte
+	body     []byte
+	done     bool
+	closes   bool
+	headless bool
+}
+
+// Data reads what a client sends (sock.Session).
+func (g *guest) Data(data []byte) {
+	now := int64(g.door.loop.Now())
+	g.heard.Store(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for !g.deaf {
+		if g.begun.Load() == 0 && len(data) > 0 {
+			g.begun.Store(now)
+		}
+		n, event, err := g.reader.Read(data)
+		data = data[n:]
+		if err != nil {
+			g.deaf = true
+			g.reader.Drop()
+			g.door.loop.Post(func() { g.refuse(err.(*http1.Bad)) })
+			return
+		}
+		switch event {
+		case http1.More:
+			if g.reader.Idle() {
+				g.begun.Store(0)
+			}
+			return
+		case http1.Head:
+			if m := g.reader.Peek(); strings.EqualFold(m.Get("Expect"), "100-continue") && g.owed.Load() == 0 {
+				_, _ = g.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
+		case http1.Whole:
+			m, begun := g.reader.Take(), logic.Time(g.begun.Load())
+			g.begun.Store(0)
+			if g.owed.Add(1) > int64(4*g.door.welcome.AtOnce) { // more than are even turned back
+				g.deaf = true
+				m.Drop()
+				g.conn.Close()
+				return
+			}
+			if m.Closes() {
+				g.deaf = true // what follows a last request is not looked at
+			}
+			g.door.loop.Post(func() {
+				if g.gone {
+					m.Drop()
+					return
+				}
+				g.door.called(g, m, begun)
+			})
+		}
+	}
+}
+
+// Wrote is of no interest here (sock.Session).
+func (g *guest) Wrote(int) {}
+
+// Closed tells those who work for this client that it has gone (sock.Session).
+func (g *guest) Closed(error) {
+	g.mu.Lock()
+	g.deaf = true
+	g.reader.Drop()
+	g.mu.Unlock()
+	g.door.loop.Post(func() {
+		g.gone = true
+		delete(g.door.guests, g)
+		for _, s := range g.slots {
+			s.abandon()
+		}
+		g.slots = nil
+	})
+}
+
+// abandon ends a slot that no answer can reach any more.
+func (s *slot) abandon() {
+	if s.done {
+		return
+	}
+	s.guest.door.open--
+	s.done = true
+	if c := s.call; c != nil {
+		s.call = nil
+		c.Left()
+	}
+}
+
+// refuse answers what can't be read, after the answers owed before it, and ends the connection.
+func (g *guest) refuse(wrong *http1.Bad) {
+	if g.gone || g.leaving != 0 {
+		return
+	}
+	g.mu.Lock()
+	g.deaf = true
+	g.reader.Drop()
+	g.mu.Unlock()
+	g.begun.Store(0)
+	s := &slot{guest: g, closes: true}
+	g.slots = append(g.slots, s)
+	g.owed.Add(1)
+	g.door.open++
+	s.refuse(wrong)
+}
+
+func (s *slot) refuse(wrong *http1.Bad) {
+	head := appendStatus(make([]byte, 0, 256), wrong.Status, reasons[wrong.Status])
+	if wrong.Status == 503 {
+		head = http1.AppendField(head, "Retry-After", "1")
+	}
+	s.text(head, wrong.Text)
+}
+
+var reasons = map[int]string{400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
+	413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
+	503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+
+// text ends a head with a line of plain text as its body.
+func (s *slot) text(head []byte, why string) {
+	head = http1.AppendField(head, "Content-Type", "text/plain; charset=utf-8")
+	head = http1.AppendField(head, "Content-Length", strconv.Itoa(len(why)+1))
+	head = append(head, s.ending()...)
+	if s.headless {
+		s.answer(head, nil)
+		return
+	}
+	s.answer(append(append(head, why...), '\n'), nil)
+}
+
+// ending closes a head.
+func (s *slot) ending() string {
+	if s.closes {
+		return "Connection: close\r\n\r\n"
+	}
+	return "\r\n"
+}
+
+// answer takes the one answer of a request and writes all that are next in order.
+func (s *slot) answer(head, body []byte) {
+	g := s.guest
+	if s.done {
+		return
+	}
+	s.done, s.call = true, nil
+	g.door.open--
+	if len(g.slots) > 1 && g.slots[0] != s { // it waits for others, and its body belongs to whoever answers
+		s.head, s.body = head, append([]byte(nil), body...)
+		return
+	}
+	s.head, s.body = head, body
+	for len(g.slots) > 0 && g.slots[0].done && !g.gone {
+		next := g.slots[0]
+		g.slots = g.slots[1:]
+		g.owed.Add(-1)
+		if pending, _ := g.conn.Pending(); pending > 4*g.door.welcome.Bounds.Body+1<<16 {
+			g.conn.Close() // it asks and doesn't read
+			return
+		}
+		var err error
+		if len(next.body) == 0 {
+			_, err = g.conn.Write(next.head)
+		} else {
+			_, err = g.conn.Write(next.head, next.body)
+		}
+		next.head, next.body = nil, nil
+		if err != nil {
+			return // its end follows
+		}
+		if next.closes {
+			g.leaving = g.door.loop.Now() // the client closes; the sweep does if it doesn't
+			for _, rest := range g.slots {
+				rest.abandon()
+			}
+			g.slots = nil
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/http1/message.go
@@ -0,0 +1,152 @@
+// Package http1 reads and writes HTTP/1.1 messages (RFC 9110, RFC 9112) piece by piece, without sockets: bytes in,
+// whole messages out. It is strict where laxness lets two readers disagree about where a message ends: a bare line
+// feed, folded lines, space before a colon, two lengths, or a length beside chunks are refused.
+//
+// Feed a Reader whatever arrived and act on what Read reports:
+//
+//	for {
+//		n, event, err := r.Read(data)
+//		data = data[n:]
+//		if err != nil || event == http1.More {
+//			break // err is a *Bad, with the status that fits
+//		}
+//		if event == http1.Whole {
+//			m := r.Take()
+//		}
+//	}
+package http1
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Field is one header line, its name as sent.
+type Field struct{ Name, Value string }
+
+// Message is a request (Method is set) or a response (Status is set), with its body whole.
+type Message struct {
+	Method, Target string
+	Status         int
+	Reason         string
+	Minor          int // of the version 1.x
+	Fields         []Field
+	Body           []byte
+
+	reserved int
+	budget   *Budget
+}
+
+// Get is the value of the first field of that name, in any case; empty if there is none.
+func (m *Message) Get(name string) string {
+	v, _ := m.Lookup(name)
+	return v
+}
+
+// Lookup is the value of the first field of that name and whether there is one.
+func (m *Message) Lookup(name string) (string, bool) {
+	for i := range m.Fields {
+		if f := &m.Fields[i]; len(f.Name) == len(name) && strings.EqualFold(f.Name, name) {
+			return f.Value, true
+		}
+	}
+	return "", false
+}
+
+// Closes tells whether the connection ends with this message (RFC 9112, 9.3).
+func (m *Message) Closes() bool {
+	keep := m.Minor > 0
+	for _, f := range m.Fields {
+		if len(f.Name) != len("connection") || !strings.EqualFold(f.Name, "connection") {
+			continue
+		}
+		for word := range strings.SplitSeq(f.Value, ",") {
+			switch word = strings.TrimSpace(word); {
+			case strings.EqualFold(word, "close"):
+				return true
+			case strings.EqualFold(word, "keep-alive"):
+				keep = true
+			}
+		}
+	}
+	return !keep
+}
+
+// Drop gives back the memory that the body holds of its budget. The body must not be read after it.
+func (m *Message) Drop() {
+	if m.budget != nil {
+		m.budget.Release(m.reserved)
+	}
+	m.Body, m.reserved = nil, 0
+}
+
+// Bad is a message that can't be taken, and the status that says so.
+type Bad struct {
+	Status int
+	Text   string
+}
+
+func (b *Bad) Error() string { return fmt.Sprintf("%d: %s", b.Status, b.Text) }
+
+func bad(status int, format string, values ...any) error {
+	return &Bad{status, fmt.Sprintf(format, values...)}
+}
+
+// hop are the fields that concern one connection only (RFC 9110, 7.6.1), beside those that Connection names.
+func hop(name string) bool {
+	switch len(name) {
+	case 2:
+		return strings.EqualFold(name, "te")
+	case 7:
+		return strings.EqualFold(name, "trailer") || strings.EqualFold(name, "upgrade")
+	case 10:
+		return strings.EqualFold(name, "connection") || strings.EqualFold(name, "keep-alive")
+	case 14:
+		return strings.EqualFold(name, "content-length")
+	case 16:
+		return strings.EqualFold(name, "proxy-connection")
+	case 17:
+		return strings.EqualFold(name, "transfer-encoding")
+	case 18:
+		return strings.EqualFold(name, "proxy-authenticate")
+	case 19:
+		return strings.EqualFold(name, "proxy-authorization")
+	case 6:
+		return strings.EqualFold(name, "expect")
+	}
+	return false
+}
+
+// AppendFields appends the fields that travel on: all but those of one connection, and those that leave is true of.
+func (m *Message) AppendFields(to []byte, leave func(name string) bool) []byte {
+	named := ""
+	for _, f := range m.Fields {
+		if len(f.Name) == len("connection") && strings.EqualFold(f.Name, "connection") {
+			named += "," + f.Value
+		}
+	}
+	for _, f := range m.Fields {
+		if hop(f.Name) || leave != nil && leave(f.Name) || named != "" && listed(named, f.Name) {
+			continue
+		}
+		to = AppendField(to, f.Name, f.Value)
+	}
+	return to
+}
+
+func listed(list, name string) bool {
+	for word := range strings.SplitSeq(list, ",") {
+		if strings.EqualFold(strings.TrimSpace(word), name) {
+			return true
+		}
+	}
+	return false
+}
+
+// AppendField appends one header line.
+func AppendField(to []byte, name, value string) []byte {
+	to = append(to, name...)
+	to = append(to, ':', ' ')
+	to = append(to, value...)
+	return append(to, '\r', '\n')
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,458 @@
+// Package instance is one running router: the router library on sockets. It turns what happens at the clients' side,
+// the hosts' side, the register and the desk into events, and carries out the actions. It decides nothing.
+package instance
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"time"
+
+	"dapplefront/internal/api"
+	"dapplefront/internal/back"
+	"dapplefront/internal/charter"
+	"dapplefront/internal/desk"
+	"dapplefront/internal/front"
+	"dapplefront/internal/http1"
+	"dapplefront/internal/loop"
+	"dapplefront/internal/register"
+	"dapplefront/internal/sock"
+	"dapplefront/logic"
+	"dapplefront/router"
+)
+
+// Bend changes what a router does, so that tests can show that a router built wrong is found out. A daemon has none.
+type Bend interface {
+	// Actions may change the actions that follow an event; hosts are those that the router was ever told of.
+	Actions(now logic.Time, e router.Event, actions []router.Action, hosts map[uint32]register.Host) []router.Action
+	// Silent tells whether a final answer is kept from the client.
+	Silent(task string) bool
+}
+
+// Instance is one running router.
+type Instance struct {
+	charter  *charter.Charter
+	log      *slog.Logger
+	loop     *loop.Loop
+	engine   *sock.Engine
+	mind     *router.Router
+	door     *front.Door
+	pool     *back.Pool
+	budget   *http1.Budget
+	register *register.Watch
+	desk     *desk.Link
+	address  net.Addr
+	bend     Bend
+
+	tasks  map[string]*held
+	hosts  map[uint32]register.Host
+	next   uint64
+	inbox  []router.Event
+	busy   bool
+	spare  []router.Action
+	counts Counts
+	keep   chan []register.Host
+	kept   chan struct{}
+}
+
+// Counts is what an instance has done since it started.
+type Counts struct {
+	Taken, Finished, TurnedBack, Scrapped, Left, Sends, Copies uint64
+}
+
+// held is a task of which something is still to come: its answer, or the end of a send.
+type held struct {
+	id    string
+	call  *front.Call
+	owed  bool
+	base  []byte // head of its sends, but for what differs
+	sends []*back.Send
+	out   int
+	late  bool // the last send to end was not answered in time
+}
+
+// Start starts a router; it listens when Start returns. bend is nil but in tests.
+func Start(c *charter.Charter, log *slog.Logger, bend Bend) (*Instance, error) {
+	i := &Instance{charter: c, log: log.With("router", c.Name), loop: loop.New(), bend: bend, tasks: map[string]*held{},
+		hosts: map[uint32]register.Host{}, budget: http1.NewBudget(int64(c.Held)), keep: make(chan []register.Host, 1),
+		kept: make(chan struct{})}
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("router %s: %w", c.Name, err)
+	}
+	i.address = listener.Addr()
+	if i.engine, err = sock.Start(c.Name, 1); err != nil {
+		_ = listener.Close()
+		return nil, fmt.Errorf("router %s: %w", c.Name, err)
+	}
+	if i.register, err = register.New(c.Register.Address, c.Name, c.Register.Names, c.Register.Changes, register.Hear{
+		Listed:   func(whole bool, hosts []register.Host) { i.loop.Do(func() { i.listed(whole, hosts) }) },
+		Rejected: func(err error) { i.log.Warn("host list turned down", "error", err) },
+		Failed: func(err error) {
+			i.log.Warn("host list out of reach", "error", err)
+			i.tell(router.Unlisted{})
+		}}); err != nil {
+		_ = listener.Close()
+		i.engine.Stop()
+		return nil, err
+	}
+	go i.keepLists()
+	i.loop.Do(func() { i.begin() })
+	i.desk = desk.Open(c.Desk.URL, c.Name, loop.Duration(c.Place.Desk.VoteTimeout), desk.Hear{
+		Release:   func(n logic.News) { i.tell(router.Told{News: n}) },
+		Counts:    i.counted,
+		Complaint: i.complained,
+		Trouble:   func(err error) { i.log.Warn("desk", "error", err) }})
+	i.engine.Accept(listener, i.door.Enter)
+	i.log.Info("listening", "address", i.address.String())
+	return i, nil
+}
+
+// begin makes the mind and tells it the last list.
+func (i *Instance) begin() {
+	c := i.charter
+	i.pool = back.NewPool(i.loop, i.engine, c.Reach, i.budget)
+	i.door = front.NewDoor(i.loop, c.Welcome, i.budget, i.take)
+	place := c.Place
+	place.Seed ^= uint64(i.loop.Now()) // another life, other chance
+	var actions []router.Action
+	i.mind, actions = router.New(i.loop.Now(), place)
+	if c.LastList != "" {
+		hosts, err := register.Last(c.LastList)
+		if err != nil {
+			i.log.Warn("starting without the last list", "error", err)
+		} else if len(hosts) > 0 {
+			i.log.Info("starting with the last list", "hosts", len(hosts))
+			i.listed(true, hosts)
+		}
+	}
+	i.act(actions)
+}
+
+// Address is where the router listens.
+func (i *Instance) Address() net.Addr { return i.address }
+
+// Counts is what the router has done so far.
+func (i *Instance) Counts() (c Counts) {
+	i.loop.Do(func() { c = i.counts })
+	return c
+}
+
+// Held is how many tasks wait for an answer, connections are open to clients and to hosts, and bytes of bodies are
+// held.
+func (i *Instance) Held() (tasks, guests, links int, bytes int64) {
+	i.loop.Do(func() { tasks, guests, links = i.door.Open(), i.door.Guests(), i.pool.Links() })
+	return tasks, guests, links, i.budget.Used()
+}
+
+// Drain takes no new tasks, waits for those held to get their answer, at most for within or until cut is closed, and
+// ends. It returns how many were cut off.
+func (i *Instance) Drain(within time.Duration, cut <-chan struct{}) (left int) {
+	i.engine.Deaf()
+	end := time.After(within)
+	i.loop.Do(i.door.Close)
+	for ended := false; !ended; {
+		ok := i.loop.Do(func() { left = i.door.Open() })
+		if !ok || left == 0 {
+			break
+		}
+		select {
+		case <-cut:
+			ended = true
+		case <-end:
+			ended = true
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	if left == 0 {
+		time.Sleep(20 * time.Millisecond) // the last answers are with the kernel; let clients close first
+	}
+	c := i.Counts()
+	i.Kill()
+	i.log.Info("ended", "cut off", left, "taken", c.Taken, "finished", c.Finished, "turned back", c.TurnedBack,
+		"scrapped", c.Scrapped, "left by clients", c.Left)
+	return left
+}
+
+// Kill ends the router at once, as if its process had died.
+func (i *Instance) Kill() {
+	i.loop.Close()
+	i.engine.Stop()
+	i.register.Close()
+	i.desk.Close()
+	close(i.keep)
+	<-i.kept
+}
+
+// Stall makes the router stand still, as if its process were not scheduled.
+func (i *Instance) Stall(d time.Duration) { go i.loop.Post(func() { time.Sleep(d) }) }
+
+// ---- Events ----
+
+// tell hands an event in from outside the loop.
+func (i *Instance) tell(e router.Event) { i.loop.Post(func() { i.hear(e) }) }
+
+// hear takes events one after the other, also those that actions bring about.
+func (i *Instance) hear(e router.Event) {
+	i.inbox = append(i.inbox, e)
+	if i.busy {
+		return
+	}
+	i.busy = true
+	for len(i.inbox) > 0 {
+		e := i.inbox[0]
+		i.inbox = i.inbox[1:]
+		now := i.loop.Now()
+		actions, err := i.mind.Hear(now, e, i.spare[:0])
+		if err != nil {
+			i.log.Warn("an event makes no sense", "error", err)
+		}
+		i.spare = actions
+		if i.bend != nil {
+			actions = i.bend.Actions(now, e, actions, i.hosts)
+		}
+		i.act(actions)
+	}
+	i.inbox, i.busy = nil, false
+}
+
+func (i *Instance) listed(whole bool, hosts []register.Host) {
+	list := make([]router.Host, len(hosts))
+	named := make(map[uint32]bool, len(hosts))
+	for n, h := range hosts {
+		list[n], named[h.ID] = h.Host, true
+		if h.Standing == logic.Gone {
+			i.pool.Leave(h.ID)
+		} else {
+			i.pool.Place(h.ID, h.Address)
+		}
+		i.hosts[h.ID] = h
+	}
+	for id, h := range i.hosts {
+		if whole && !named[id] && h.Standing != logic.Gone {
+			h.Standing = logic.Gone
+			i.hosts[id] = h
+			i.pool.Leave(id)
+		}
+	}
+	i.hear(router.Listed{Whole: whole, Hosts: list})
+	if i.charter.LastList == "" {
+		return
+	}
+	var all []register.Host
+	for id, h := range i.hosts {
+		if h.Standing == logic.Gone {
+			delete(i.hosts, id)
+		} else {
+			all = append(all, h)
+		}
+	}
+	select { // an older list that still waits to be written is let go
+	case <-i.keep:
+	default:
+	}
+	i.keep <- all
+}
+
+// keepLists writes the last list, away from the loop.
+func (i *Instance) keepLists() {
+	defer close(i.kept)
+	for hosts := range i.keep {
+		if err := register.Keep(i.charter.LastList, hosts); err != nil {
+			i.log.Warn("the last list is not kept", "error", err)
+		}
+	}
+}
+
+func (i *Instance) counted(c api.Counts) {
+	i.tell(router.Counted{Build: c.Build, Category: c.Category, Bad: c.Bad, Samples: c.Samples,
+		Mean: logic.Time(c.MeanMs * 10), Age: logic.Time(c.AgeMs) * 10, Over: loop.Span(i.charter.Desk.Over)})
+}
+
+func (i *Instance) complained(c api.Complaint) {
+	i.tell(router.Complained{Host: c.Host, Category: c.Category, Age: logic.Time(c.AgeMs) * 10})
+}
+
+func (i *Instance) take(c *front.Call) {
+	if limit := i.charter.Place.Limits.MaxOpen; limit > 0 && len(i.tasks) >= limit || c.Patience <= 0 {
+		c.Request.Drop()
+		i.counts.TurnedBack++
+		c.TurnBack(i.charter.Place.Limits.LongestStay/4, "this router holds as many tasks as it may")
+		return
+	}
+	i.next++
+	h := &held{id: strconv.FormatUint(i.next, 36), call: c, owed: true}
+	i.tasks[h.id] = h
+	i.counts.Taken++
+	c.Left = func() {
+		h.owed = false
+		i.counts.Left++
+		i.withhold(h)
+		i.hear(router.Left{Task: h.id})
+		i.forget(h)
+	}
+	i.hear(router.Taken{Task: h.id, Category: c.Category, Customer: c.Customer, Key: c.Key, Patience: c.Patience,
+		Hint: c.Hint, Again: c.Again})
+}
+
+// ended passes on how a send ended; the first that finished answers the client.
+func (i *Instance) ended(h *held, n int, host uint32, r back.Result) {
+	h.out--
+	h.late = r.Fate == logic.NoAnswer
+	if r.Why != "" && i.log.Enabled(context.Background(), slog.LevelDebug) {
+		i.log.Debug("send", "task", h.id, "send", n, "host", host, "fate", int(r.Fate), "why", r.Why)
+	}
+	if r.Fate == logic.Finished && h.owed {
+		h.owed = false
+		i.counts.Finished++
+		if i.bend == nil || !i.bend.Silent(h.id) {
+			h.call.Finish(r.Answer, host)
+		}
+		i.withhold(h)
+	}
+	if r.Answer != nil {
+		r.Answer.Drop()
+	}
+	i.hear(router.Ended{Task: h.id, Send: n, Fate: r.Fate, Took: r.Took, Done: !h.owed, Load: r.Load})
+	i.forget(h)
+}
+
+// withhold keeps back the sends of a task that is over as far as they have not left.
+func (i *Instance) withhold(h *held) {
+	for _, s := range h.sends {
+		s.Withhold()
+	}
+}
+
+// forget drops a task of which nothing more is to come.
+func (i *Instance) forget(h *held) {
+	if !h.owed && h.out == 0 && i.tasks[h.id] == h {
+		h.call.Request.Drop()
+		delete(i.tasks, h.id)
+	}
+}
+
+// ---- Actions ----
+
+func (i *Instance) act(actions []router.Action) {
+	for _, a := range actions {
+		switch a.Do {
+		case router.Send:
+			if h := i.tasks[a.Task]; h != nil {
+				i.send(h, a)
+			}
+		case router.TurnBack, router.Scrap:
+			if h := i.tasks[a.Task]; h != nil && h.owed {
+				i.refuse(h, a)
+			}
+		case router.Alarm:
+			mark := a.Alarm
+			i.loop.After(a.Span, func() { i.hear(router.Due{Alarm: mark}) })
+		case router.Watch:
+			i.register.Ask()
+		case router.Vote:
+			i.log.Info("vote", "build", a.Build, "stage", a.Stage, "voice", api.Voices[a.Voice])
+			i.desk.Vote(a.Build, a.Stage, a.Voice, func(n logic.News) { i.tell(router.Told{News: n}) })
+		case router.Note:
+			i.log.Info("note", "text", a.Text)
+		}
+	}
+}
+
+func (i *Instance) refuse(h *held, a router.Action) {
+	h.owed = false
+	if a.Do == router.TurnBack {
+		i.counts.TurnedBack++
+	} else {
+		i.counts.Scrapped++
+	}
+	if i.bend == nil || !i.bend.Silent(h.id) {
+		if a.Do == router.TurnBack {
+			h.call.TurnBack(a.Span, "turned back; trying again is harmless")
+		} else {
+			h.call.Scrap(h.late)
+		}
+	}
+	i.withhold(h)
+	i.forget(h)
+}
+
+func (i *Instance) send(h *held, a router.Action) {
+	m := h.call.Request
+	if h.base == nil {
+		h.base = i.head(m, h.call)
+	}
+	head := append(make([]byte, 0, len(h.base)+64), h.base...)
+	head = append(head, "Dapplefront-Send: "...)
+	head = strconv.AppendInt(head, int64(a.Send), 10)
+	head = append(head, "\r\nDapplefront-Within: "...)
+	head = strconv.AppendInt(head, int64(a.Span/10), 10)
+	head = append(head, "ms\r\n\r\n"...)
+	h.out++
+	i.counts.Sends++
+	if a.Copied {
+		i.counts.Copies++
+	}
+	n, host := a.Send, a.Host
+	h.sends = append(h.sends, i.pool.Send(host, head, m.Body, m.Method == "HEAD", a.Span,
+		func(r back.Result) { i.ended(h, n, host, r) }))
+}
+
+// head is what all sends of a task start with.
+func (i *Instance) head(m *http1.Message, c *front.Call) []byte {
+	b := make([]byte, 0, 512)
+	b = append(b, m.Method...)
+	b = append(b, ' ')
+	b = append(b, m.Target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	if m.Minor == 0 && m.Get("Host") == "" {
+		b = http1.AppendField(b, "Host", i.address.String())
+	}
+	b = m.AppendFields(b, ours)
+	b = http1.AppendField(b, "Via", "1.1 "+i.charter.Name)
+	b = http1.AppendField(b, "Dapplefront-Router", i.charter.Name)
+	b = http1.AppendField(b, "Dapplefront-Category", c.Category)
+	if c.From.IsValid() {
+		b = http1.AppendField(b, "X-Forwarded-For", c.From.String())
+	}
+	if len(m.Body) > 0 || m.Method == "POST" || m.Method == "PUT" || m.Method == "PATCH" {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
+		b = append(b, '\r', '\n')
+	}
+	return b
+}
+
+// ours are the fields that a router sets on its way to a host, whatever the client wrote.
+func ours(name string) bool {
+	switch len(name) {
+	case len("Dapplefront-Send"), len("Dapplefront-Router"), len("Dapplefront-Category"):
+		if name[0]|0x20 != 'd' {
+			return false
+		}
+		for _, n := range []string{"dapplefront-send", "dapplefront-router", "dapplefront-within", "dapplefront-category"} {
+			if equal(name, n) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func equal(name, lower string) bool {
+	if len(name) != len(lower) {
+		return false
+	}
+	for i := range len(name) {
+		c := name[i]
+		if c >= 'A' && c <= 'Z' {
+			c |= 0x20
+		}
+		if c != lower[i] {
+			return false
+		}
+	}
+	return true
+}
