Add release/, the pure state machine by which a release moves through its stages

The stand-in desk and the later controller must move builds by the same rules. A table of state, input, next state and effect: stages, least times, votes needed, holds under a clock, take-back on trial and after release, overtaking.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -238,17 +238,17 @@
 		}
 	}
 	i.hear(router.Listed{Whole: whole, Hosts: list})
-	if i.charter.LastList == "" {
-		return
-	}
 	var all []register.Host
 	for id, h := range i.hosts {
-		if h.Standing == logic.Gone {
-			delete(i.hosts, id)
-		} else {
+		if h.Standing != logic.Gone {
 			all = append(all, h)
+		} else if i.bend == nil {
+			delete(i.hosts, id)
 		}
 	}
+	if i.charter.LastList == "" {
+		return
+	}
 	select { // an older list that still waits to be written is let go
 	case <-i.keep:
 	default:
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -23,6 +23,7 @@
 	line   []func()
 	busy   bool
 	closed atomic.Bool
+	ended  chan struct{}
 
 	alarms alarms
 	timer  *time.Timer
@@ -32,7 +33,7 @@
 // New starts a loop whose clock shows the time since the epoch, and never steps back.
 func New() *Loop {
 	now := time.Now()
-	return &Loop{start: now, zero: logic.Time(now.UnixMicro() / 100)}
+	return &Loop{ended: make(chan struct{}), start: now, zero: logic.Time(now.UnixMicro() / 100)}
 }
 
 // Now is the loop's clock: tenths of a millisecond since the epoch, as told when the loop was made, and since then
@@ -81,21 +82,21 @@
 // work.
 func (l *Loop) Do(work func()) bool {
 	done := make(chan struct{})
-	if l.closed.Load() {
-		return false
-	}
 	l.Post(func() { work(); close(done) })
 	select {
 	case <-done:
 		return true
-	case <-time.After(10 * time.Second): // closed meanwhile, or stuck
+	case <-l.ended:
 		return false
 	}
 }
 
 // Close ends the loop; work in line is dropped, work that runs goes on to its end.
 func (l *Loop) Close() {
-	l.closed.Store(true)
+	if l.closed.Swap(true) {
+		return
+	}
+	close(l.ended)
 	l.mu.Lock()
 	l.line = nil
 	if l.timer != nil {
--- /dev/null
+++ b/release/release.go
@@ -0,0 +1,314 @@
+// Package release moves a release through its stages: a state machine without sockets, clock or storage. Tell a
+// Machine what happens, with the time, and carry out the effects that it returns, in order:
+//
+//	m := release.New(rules, 1)             // build 1 serves
+//	effects := m.Hear(now, release.Offer{Build: 2})
+//	effects = m.Hear(now, release.Ready{Build: 2})
+//	effects = m.Hear(now, release.Vote{Router: "r1", Build: 2, Stage: 0, Voice: logic.On})
+//	effects = m.Hear(now, release.Tick{})  // now and then: least times and votes run out
+//
+// A stage moves on once so many votes stand for it and its least time has passed, counted from when all its hosts
+// run; the last stage's move releases the build. Votes back take a build off in any stage, and also after its release
+// until the next is offered. Under a clock stages move on by themselves unless enough votes hold them.
+package release
+
+import "dapplefront/logic"
+
+// Stage is one step of a release.
+type Stage struct {
+	Share float64 // of the fleet's places that get the build
+	Cap   float64 // of each router's tasks that may go there
+}
+
+// Rules are what the machine goes by.
+type Rules struct {
+	Control   logic.Control
+	Stages    []Stage
+	LeastTime logic.Time // of a stage
+	ClockTime logic.Time // of a stage, under logic.Clock
+	VoteLife  logic.Time
+	ToMoveOn  int // votes
+	ToAbort   int
+	ToHold    int // under logic.Clock
+}
+
+// Input is something that happens.
+type Input interface{ input() }
+
+type (
+	Offer    struct{ Build int } // a newer build is to be released
+	Ready    struct{ Build int } // all hosts that Place asked for run
+	Gone     struct{ Build int } // all hosts that Retire named have gone
+	Withdraw struct{ Build int } // someone takes the build back
+	Tick     struct{}            // time has passed
+	Vote     struct {            // a router's word, in place of its earlier one
+		Router       string
+		Build, Stage int
+		Voice        logic.Voice
+	}
+)
+
+func (Offer) input()    {}
+func (Ready) input()    {}
+func (Gone) input()     {}
+func (Withdraw) input() {}
+func (Tick) input()     {}
+func (Vote) input()     {}
+
+// Effect is something to be done.
+type Effect interface{ effect() }
+
+type (
+	Place  struct { // see that a share of the places runs the build, beside what runs
+		Build int
+		Share float64
+	}
+	Retire struct{ Build int } // drain the build's hosts, then end them
+	Tell   struct{ News }      // to all routers
+	Answer struct {            // to the vote just heard
+		Counted bool
+		Why     string // where it did not count
+	}
+	Refuse struct{ Why string } // to the offer or withdrawal just heard
+)
+
+func (Place) effect()  {}
+func (Retire) effect() {}
+func (Tell) effect()   {}
+func (Answer) effect() {}
+func (Refuse) effect() {}
+
+// News is where the newest release stands.
+type News struct {
+	Build, Stage int
+	Phase        logic.Phase
+	Cap          float64
+	Since        logic.Time
+}
+
+// state is the phase, with its trial's two parts told apart.
+type state int
+
+const (
+	starting state = iota // the stage's hosts start
+	running               // they run, and the stage's time counts
+	released
+	goingBack
+	withdrawn
+)
+
+type input int
+
+const (
+	ready input = iota
+	movesOn
+	sendsBack // by votes or by a withdrawal
+	gone
+	overtaken // a newer build is offered
+)
+
+// row is one line of the table by which a release moves.
+type row struct {
+	state state
+	input input
+	next  state
+	do    func(*Machine)
+}
+
+var table = []row{
+	{starting, ready, running, (*Machine).run},
+	{running, movesOn, starting, (*Machine).widen}, // or released, in the last stage
+	{starting, sendsBack, goingBack, (*Machine).takeOff},
+	{running, sendsBack, goingBack, (*Machine).takeOff},
+	{released, sendsBack, goingBack, (*Machine).restore},
+	{goingBack, gone, withdrawn, (*Machine).tell},
+	{starting, overtaken, withdrawn, (*Machine).takeOff},
+	{running, overtaken, withdrawn, (*Machine).takeOff},
+	{goingBack, overtaken, withdrawn, (*Machine).tell},
+	{released, overtaken, released, (*Machine).rest},
+	{withdrawn, overtaken, withdrawn, (*Machine).rest},
+}
+
+type vote struct {
+	build, stage int
+	voice        logic.Voice
+	at           logic.Time
+}
+
+// Machine is one fleet's releases. It is not safe for concurrent use.
+type Machine struct {
+	rules   Rules
+	now     logic.Time
+	state   state
+	news    News
+	earlier int // the build that serves while news.Build is on trial, or served before it
+	runs    logic.Time
+	held    logic.Time // under a clock: how long the stage was on hold
+	holding bool
+	ticked  logic.Time
+	votes   map[string]vote
+	out     []Effect
+}
+
+// New starts with a build that serves and is released.
+func New(rules Rules, build int) *Machine {
+	return &Machine{rules: rules, state: released, earlier: build, votes: map[string]vote{},
+		news: News{Build: build, Phase: logic.Released, Cap: 1, Stage: max(0, len(rules.Stages)-1)}}
+}
+
+// News is where the newest release stands now.
+func (m *Machine) News() News { return m.news }
+
+// Earlier is the build that serves beside or before the newest one.
+func (m *Machine) Earlier() int { return m.earlier }
+
+// Votes is how many votes of a voice stand now for the newest build; those to go on count for its present stage only.
+func (m *Machine) Votes(voice logic.Voice) (n int) {
+	for _, v := range m.votes {
+		fits := v.voice == voice && v.build == m.news.Build && m.now-v.at <= m.rules.VoteLife
+		if fits && (voice == logic.Back || v.stage == m.news.Stage) {
+			n++
+		}
+	}
+	return n
+}
+
+// Hear takes in what happened and returns what is to be done.
+func (m *Machine) Hear(now logic.Time, in Input) []Effect {
+	m.now, m.out = max(now, m.now), nil
+	switch in := in.(type) {
+	case Offer:
+		m.offer(in.Build)
+	case Ready:
+		if in.Build == m.news.Build {
+			m.step(ready)
+		}
+	case Gone:
+		if in.Build == m.news.Build {
+			m.step(gone)
+		}
+	case Withdraw:
+		if in.Build != m.news.Build || m.state == goingBack || m.state == withdrawn {
+			m.do(Refuse{Why: "it is not the newest release, or it is going back already"})
+		} else {
+			m.step(sendsBack)
+		}
+	case Vote:
+		m.vote(in)
+	}
+	m.weigh()
+	m.ticked = m.now
+	return m.out
+}
+
+func (m *Machine) do(e Effect) { m.out = append(m.out, e) }
+
+// step reads the table.
+func (m *Machine) step(in input) {
+	for _, r := range table {
+		if r.state == m.state && r.input == in {
+			m.state = r.next
+			r.do(m)
+			return
+		}
+	}
+}
+
+func (m *Machine) offer(build int) {
+	if build <= m.news.Build {
+		m.do(Refuse{Why: "a build with a higher number has been offered already"})
+		return
+	}
+	if m.step(overtaken); m.state == released {
+		m.earlier = m.news.Build
+	}
+	m.state, m.news = starting, News{Build: build, Phase: logic.OnTrial}
+	clear(m.votes)
+	m.place()
+}
+
+func (m *Machine) vote(v Vote) {
+	mine := v.Build == m.news.Build && m.state != goingBack && m.state != withdrawn
+	back := v.Voice == logic.Back || v.Voice == logic.NoVote
+	switch {
+	case !mine || !back && (v.Stage != m.news.Stage || m.state == released):
+		m.do(Answer{Why: "it is not the present build or stage"})
+		return
+	case v.Voice == logic.Hold && m.rules.Control != logic.Clock, v.Voice == logic.On && m.rules.Control == logic.Clock:
+		m.do(Answer{Why: "no such vote under this control"})
+		return
+	}
+	m.votes[v.Router] = vote{v.Build, v.Stage, v.Voice, m.now}
+	m.do(Answer{Counted: true})
+}
+
+// weigh sees whether votes or time move the release.
+func (m *Machine) weigh() {
+	if m.Votes(logic.Back) >= max(1, m.rules.ToAbort) {
+		m.step(sendsBack)
+		return
+	}
+	if m.state != running {
+		return
+	}
+	ran := m.now - m.runs
+	if m.holding {
+		m.held += m.now - m.ticked
+	}
+	m.holding = m.rules.Control == logic.Clock && m.rules.ToHold > 0 && m.Votes(logic.Hold) >= m.rules.ToHold
+	switch {
+	case m.rules.Control != logic.Clock:
+		if m.Votes(logic.On) >= max(1, m.rules.ToMoveOn) && ran >= m.rules.LeastTime {
+			m.step(movesOn)
+		}
+	case !m.holding && ran-m.held >= m.rules.ClockTime:
+		m.step(movesOn)
+	}
+}
+
+// place asks for the present stage's hosts and tells of it.
+func (m *Machine) place() {
+	s := m.rules.Stages[m.news.Stage]
+	m.news.Cap, m.news.Since, m.held, m.holding = s.Cap, m.now, 0, false
+	m.do(Place{m.news.Build, s.Share})
+	m.do(Tell{m.news})
+}
+
+func (m *Machine) run()  { m.runs = m.now }
+func (m *Machine) rest() {}
+
+func (m *Machine) tell() {
+	m.news.Since = m.now
+	if m.state == withdrawn {
+		m.news.Phase = logic.Withdrawn
+	}
+	m.do(Tell{m.news})
+}
+
+// widen goes on to the next stage, or releases the build after the last one.
+func (m *Machine) widen() {
+	if m.news.Stage+1 < len(m.rules.Stages) {
+		m.news.Stage++
+		m.place()
+		return
+	}
+	m.state, m.news.Phase, m.news.Cap, m.news.Since = released, logic.Released, 1, m.now
+	m.do(Tell{m.news})
+	m.do(Retire{m.earlier})
+}
+
+// takeOff takes a build on trial back.
+func (m *Machine) takeOff() {
+	m.news.Phase, m.news.Cap, m.news.Since = logic.GoingBack, 0, m.now
+	if m.state == withdrawn {
+		m.news.Phase = logic.Withdrawn
+	}
+	m.do(Tell{m.news})
+	m.do(Retire{m.news.Build})
+}
+
+// restore takes a released build back: the earlier one gets all places again.
+func (m *Machine) restore() {
+	m.do(Place{m.earlier, 1})
+	m.takeOff()
+}
