--- /dev/null
+++ b/cmd/dapplefront/day.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dapplefront/internal/day"
+)
+
+func dayCommand(log logging) *cobra.Command {
+	var kind, breach, report string
+	var seed uint64
+	var seconds int
+	var list, quiet bool
+	c := &cobra.Command{Use: "day [FILE]", Short: "Play a day of trouble on loopback and judge the five rules",
+		Args: cobra.MaximumNArgs(1),
+		Long: "Play a day of trouble on loopback: routers, hosts, register, desk and clients, by a script (FILE) or by chance.\n" +
+			"Ends with 0 when every rule was kept, 1 when one broke, 2 when it could not run or the audit can't tell.",
+		RunE: func(c *cobra.Command, args []string) error {
+			if list {
+				names, texts := day.Kinds()
+				for i := range names {
+					fmt.Fprintf(c.OutOrStdout(), "%-14s %s\n", names[i], texts[i])
+				}
+				fmt.Fprintln(c.OutOrStdout(), "\nSeveral joined by + come together, as in bad-some+slow.")
+				return nil
+			}
+			l, err := log("error")
+			if err != nil {
+				return err
+			}
+			var p day.Plan
+			if len(args) == 1 {
+				p, err = day.Read(args[0])
+			} else {
+				p, err = day.Draw(kind, seed, time.Duration(seconds)*time.Second)
+			}
+			if err != nil {
+				return err
+			}
+			p.Breach = breach
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+			defer stop()
+			progress := c.OutOrStdout()
+			if quiet {
+				progress = nil
+			}
+			r, err := day.Play(ctx, p, l, progress)
+			if err != nil {
+				return err
+			}
+			if report != "" {
+				f, err := os.Create(report)
+				if err != nil {
+					return err
+				}
+				if err := r.WriteJSON(f); err != nil {
+					return err
+				}
+				if err := f.Close(); err != nil {
+					return err
+				}
+			}
+			r.Print(c.OutOrStdout())
+			if code := r.Exit(); code != 0 {
+				return exit(code)
+			}
+			return nil
+		}}
+	f := c.Flags()
+	f.StringVar(&kind, "kind", "mixed", "what kind of day to draw; --list names them")
+	f.Uint64Var(&seed, "seed", 1, "chance")
+	f.IntVar(&seconds, "seconds", 30, "how long the day is")
+	f.BoolVar(&list, "list", false, "name the kinds")
+	f.BoolVar(&quiet, "quiet", false, "no line a second")
+	f.StringVar(&report, "report", "", "also write the report to this file, as JSON")
+	f.StringVar(&breach, "breach", "", "build the routers wrong on purpose: answer, effect, drain, cold or exposure")
+	return c
+}
--- /dev/null
+++ b/cmd/dapplefront/router.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"dapplefront/internal/charter"
+	"dapplefront/internal/day"
+	"dapplefront/internal/instance"
+	"dapplefront/internal/sheet"
+)
+
+func routerCommand(log logging) *cobra.Command {
+	return &cobra.Command{Use: "router FILE", Short: "Run a router by a file of settings", Args: cobra.ExactArgs(1),
+		Long: "Run a router by a file of settings (docs/operate-router.md). SIGTERM or an interrupt drains: no new tasks, those\n" +
+			"held get their answer, then it ends with 0. A second signal ends it at once with 1.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			l, err := log("info")
+			if err != nil {
+				return err
+			}
+			c, err := charter.Read(args[0])
+			if err != nil {
+				return err
+			}
+			signals := make(chan os.Signal, 2)
+			signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+			i, err := instance.Start(c, l, nil)
+			if err != nil {
+				return err
+			}
+			l.Info("draining", "signal", (<-signals).String(), "at most", c.Drain)
+			cut := make(chan struct{})
+			go func() { <-signals; close(cut) }()
+			if left := i.Drain(c.Drain, cut); left > 0 {
+				return exit(1)
+			}
+			return nil
+		}}
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE", Short: "Check a file of settings or a day's script, and tell every mistake",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s := sheet.Read(args[0])
+			if s.Part("day").Has() {
+				day.From(s)
+			} else {
+				charter.From(s)
+			}
+			if err := s.Done(); err != nil {
+				fmt.Fprintln(c.ErrOrStderr(), err)
+				return exit(1)
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: no mistakes\n", args[0])
+			return nil
+		}}
+}
--- /dev/null
+++ b/internal/day/breach.go
@@ -0,0 +1,92 @@
+package day
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"dapplefront/internal/instance"
+	"dapplefront/internal/register"
+	"dapplefront/logic"
+	"dapplefront/router"
+)
+
+// Breaches are the ways in which a router can be built wrong on purpose, each against one rule.
+var Breaches = []string{"answer", "effect", "drain", "cold", "exposure"}
+
+// wrong is a router built wrong: it bends what the right one does. The audit must find it out.
+type wrong struct {
+	how     string
+	cold    logic.Time
+	grace   logic.Time
+	seen    atomic.Int64
+	binding map[string]bool
+	told    map[uint32]logic.Time // when a host was first told to drain
+	news    logic.News
+}
+
+func newWrong(how string, f figures) (instance.Bend, error) {
+	switch how {
+	case "":
+		return nil, nil
+	case "answer", "effect", "drain", "cold", "exposure":
+		return &wrong{how: how, cold: logic.Time(f.cold.Microseconds() / 100), grace: logic.Time(f.grace.Microseconds() / 100),
+			binding: map[string]bool{}, told: map[uint32]logic.Time{}}, nil
+	}
+	return nil, fmt.Errorf("no breach is called %q; answer, effect, drain, cold or exposure expected", how)
+}
+
+// Silent keeps some answers from their clients.
+func (w *wrong) Silent(string) bool { return w.how == "answer" && w.seen.Add(1)%40 == 0 }
+
+// Actions sends where nothing may go.
+func (w *wrong) Actions(now logic.Time, e router.Event, actions []router.Action, hosts map[uint32]register.Host) []router.Action {
+	if t, ok := e.(router.Told); ok && t.News.Build > 0 && (t.News.Answer == logic.Unasked || t.News.Answer == logic.Counted) {
+		w.news = t.News
+	}
+	for id, h := range hosts {
+		if h.Standing == logic.Draining && w.told[id] == 0 {
+			w.told[id] = now
+		}
+	}
+	to, ok := w.target(now, hosts)
+	t, taken := e.(router.Taken)
+	if !taken {
+		return actions
+	}
+	for i, a := range actions {
+		if a.Do != router.Send || !ok {
+			continue
+		}
+		if w.how == "effect" {
+			if t.Category == "transfer" && w.seen.Add(1)%5 == 0 && to != a.Host {
+				again := a
+				again.Send, again.Host = a.Send+100, to
+				return append(actions, again)
+			}
+			continue
+		}
+		actions[i].Host = to
+	}
+	return actions
+}
+
+// target is the host that a wrong router likes most, if there is one now.
+func (w *wrong) target(now logic.Time, hosts map[uint32]register.Host) (to uint32, ok bool) {
+	for id, h := range hosts {
+		fits := false
+		switch w.how {
+		case "effect":
+			fits = h.Standing == logic.Serving
+		case "drain":
+			fits = h.Standing == logic.Draining && now-w.told[id] > w.grace
+		case "cold":
+			fits = h.Standing == logic.Serving && h.Up > 0 && now-h.Up < w.cold
+		case "exposure":
+			fits = h.Standing == logic.Serving && h.Build == w.news.Build && w.news.Phase == logic.OnTrial
+		}
+		if fits && (!ok || id > to) {
+			to, ok = id, true
+		}
+	}
+	return to, ok
+}
--- /dev/null
+++ b/internal/day/day.go
@@ -0,0 +1,339 @@
+package day
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"dapplefront/internal/audit"
+	"dapplefront/internal/charter"
+	"dapplefront/internal/instance"
+	"dapplefront/internal/stand"
+	"dapplefront/logic"
+	"dapplefront/release"
+)
+
+// figures are what all days share: the rules' figures and how late things are told.
+type figures struct {
+	locations []string
+	grace     time.Duration
+	cold      time.Duration
+	coldShare float64
+	tip       float64
+	tipFor    time.Duration
+	window    time.Duration
+	free      float64
+	caps      []float64
+	shares    []float64
+	guarded   int
+	startsIn  time.Duration // a host's process
+	listLate  time.Duration
+	drains    time.Duration // how long a host stays after it was listed as draining
+	deskLate  time.Duration
+}
+
+func standard(p Plan) figures {
+	f := figures{grace: time.Second, cold: 4 * time.Second, coldShare: 0.35, tip: 3, tipFor: 2 * time.Second,
+		window: 4 * time.Second, free: 2, caps: []float64{.05, .15, .5, 1}, shares: []float64{.04, .12, .4, 1}, guarded: 1,
+		startsIn: time.Second, listLate: 300 * time.Millisecond, drains: 2500 * time.Millisecond,
+		deskLate: 200 * time.Millisecond}
+	names := []string{"north", "south", "port"}
+	for i := range p.Locations {
+		if i < len(names) {
+			f.locations = append(f.locations, names[i])
+		} else {
+			f.locations = append(f.locations, fmt.Sprintf("place-%d", i+1))
+		}
+	}
+	return f
+}
+
+var wishes = []stand.Wish{
+	{Kind: stand.Kind{Name: "quote", Work: 30 * time.Millisecond, Repeat: logic.Retriable}, Path: "/quote", Share: .6,
+		Promised: 400 * time.Millisecond, Patience: 1500 * time.Millisecond},
+	{Kind: stand.Kind{Name: "order", Work: 40 * time.Millisecond, Repeat: logic.Fingerprinted, Memory: 10 * time.Second},
+		Path: "/order", Share: .23, Promised: 500 * time.Millisecond, Patience: 2 * time.Second},
+	{Kind: stand.Kind{Name: "transfer", Work: 25 * time.Millisecond, Repeat: logic.Binding}, Path: "/transfer", Share: .17,
+		Promised: 300 * time.Millisecond, Patience: time.Second},
+}
+
+const way = 150 * time.Millisecond // what the audit allows for ways between sockets: many times what loopback takes
+
+// Result is a day that was played.
+type Result struct {
+	Plan     Plan
+	Verdicts []audit.Verdict
+	Scores   map[string]stand.Score
+	Times    map[string][]time.Duration
+	Moves    []stand.Move
+	Counts   map[string]instance.Counts // by router, of its last life
+	Took     time.Duration
+}
+
+// Kept is how many rules were surely kept, and the first that was not.
+func (r *Result) Kept() (kept int, first *audit.Verdict) {
+	for i, v := range r.Verdicts {
+		if v.Kept() {
+			kept++
+		} else if first == nil || len(first.Broken) == 0 && len(v.Broken) > 0 {
+			first = &r.Verdicts[i]
+		}
+	}
+	return kept, first
+}
+
+// stage is a day while it is played.
+type stage struct {
+	plan     Plan
+	figures  figures
+	log      *slog.Logger
+	dir      string
+	book     *audit.Book
+	register *stand.Register
+	desk     *stand.Desk
+	fleet    *fleet
+	clients  *stand.Clients
+	routers  []*seat
+	rand     *rand.Rand
+	wait     sync.WaitGroup
+	mu       sync.Mutex
+	after    []func() // to mend what still lasts at the end
+}
+
+// seat is one router's place; its instance changes with restarts.
+type seat struct {
+	name    string
+	file    string
+	address string
+
+	mu       sync.Mutex
+	instance *instance.Instance
+}
+
+// Play plays a day. It writes a line a second to progress, which may be nil.
+func Play(ctx context.Context, p Plan, log *slog.Logger, progress io.Writer) (*Result, error) {
+	f := standard(p)
+	dir, err := os.MkdirTemp("", "dapplefront-day-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	s := &stage{plan: p, figures: f, log: log, dir: dir, book: audit.Open(), rand: rand.New(rand.NewPCG(p.Seed, 5))}
+	defer s.close()
+	if err := s.build(); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, p.Length)
+	defer cancel()
+	s.schedule(ctx)
+	playing := make(chan struct{})
+	go func() { s.clients.Run(ctx); close(playing) }()
+	s.watch(playing, began, progress)
+	s.mu.Lock()
+	after := s.after
+	s.after = nil
+	s.mu.Unlock()
+	for _, mend := range after {
+		mend()
+	}
+	s.wait.Wait()
+	r := &Result{Plan: p, Moves: s.desk.Moves(), Counts: map[string]instance.Counts{}, Took: time.Since(began)}
+	r.Scores, r.Times = s.clients.Scores()
+	for _, x := range s.routers {
+		x.mu.Lock()
+		if x.instance != nil {
+			r.Counts[x.name] = x.instance.Counts()
+		}
+		x.mu.Unlock()
+	}
+	s.book.Close()
+	r.Verdicts = s.book.Judge(s.judged())
+	return r, nil
+}
+
+// judged are the figures by which the audit judges.
+func (s *stage) judged() audit.Figures {
+	f := s.figures
+	a := audit.Figures{Categories: map[string]audit.Category{}, Slack: way, Grace: f.grace, Tip: f.tip, TipFor: f.tipFor,
+		Window: f.window, Free: f.free, Guarded: f.guarded, FirstCap: f.caps[0], Way: way}
+	for _, w := range wishes {
+		a.Categories[w.Name] = audit.Category{Repeat: w.Repeat, Memory: w.Memory}
+	}
+	return a
+}
+
+func (s *stage) build() (err error) {
+	p, f := s.plan, s.figures
+	if s.register, err = stand.StartRegister("127.0.0.1:0", "day", s.book); err != nil {
+		return err
+	}
+	var stages []release.Stage
+	for i, c := range f.caps {
+		stages = append(stages, release.Stage{Share: f.shares[i], Cap: c})
+	}
+	if s.desk, err = stand.StartDesk("127.0.0.1:0", 1, stand.DeskFigures{VotesASecond: 30, Late: f.deskLate,
+		Repeat: 2 * time.Second, Counted: .4, CountsOver: 2 * time.Second,
+		Rules: release.Rules{Control: logic.ShareOfVotes, Stages: stages, LeastTime: logic.Second, VoteLife: 8 * logic.Second,
+			ToMoveOn: max(1, p.Routers/2), ToAbort: 1}}, s.book); err != nil {
+		return err
+	}
+	world := stand.World{Book: s.book, Kinds: map[string]stand.Kind{}, Marks: &stand.Marks{}}
+	for _, w := range wishes {
+		world.Kinds[w.Name] = w.Kind
+	}
+	s.fleet = newFleet(p, f, world, s.register)
+	s.fleet.desk = s.desk
+	s.desk.SetFleet(s.fleet)
+	var all []*member
+	for place := range s.fleet.places {
+		h, err := s.fleet.start(place, 1, false)
+		if err != nil {
+			return err
+		}
+		all = append(all, h)
+	}
+	s.fleet.list(logic.Serving, all...)
+	var doors []stand.Door
+	for i := range p.Routers {
+		x, err := s.seat(i)
+		if err != nil {
+			return err
+		}
+		s.routers = append(s.routers, x)
+		if err := s.open(x); err != nil {
+			return err
+		}
+		doors = append(doors, stand.Door{Name: x.name, Address: x.address, Rate: p.Rate})
+	}
+	time.Sleep(300 * time.Millisecond) // the list and the news are on their way
+	s.clients = stand.NewClients(wishes, doors, stand.Habits{Rush: 1, Repeats: 2, Wait: 100 * time.Millisecond, Heed: true,
+		Leaves: .003, Complain: .3}, s.book, s.desk.URL(), p.Seed)
+	return nil
+}
+
+// seat writes the charter of a router: the same file that an operator would write.
+func (s *stage) seat(i int) (*seat, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // a free port, which restarts keep
+	if err != nil {
+		return nil, err
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	f := s.figures
+	x := &seat{name: fmt.Sprintf("r%d", i+1), address: address}
+	x.file = filepath.Join(s.dir, x.name+".ini")
+	var b strings.Builder
+	fmt.Fprintf(&b, "[router]\nname = %s\nlisten = %s\nrouters = %d\nrank = %d\nlocation = %s\nseed = %d\nlast-list = %s\n",
+		x.name, address, s.plan.Routers, i, f.locations[i%len(f.locations)], s.plan.Seed+uint64(i),
+		filepath.Join(s.dir, x.name+".list"))
+	ask := "changes"
+	if i%2 == 1 {
+		ask = "whole"
+	}
+	fmt.Fprintf(&b, "[register]\naddress = %s\nnames = %s\nask = %s\n", s.register.Address(),
+		strings.Join(s.register.Names(f.locations), ", "), ask)
+	caps := make([]string, len(f.caps))
+	for n, c := range f.caps {
+		caps[n] = fmt.Sprintf("%g%%", 100*c)
+	}
+	fmt.Fprintf(&b, "[desk]\nurl = %s\ncaps = %s\nleast-time = 1s\nto-move-on = %d\nto-abort = 1\nvote-life = 8s\n"+
+		"vote-timeout = 1s\nvotes-a-second = 30\nwindow = %s\nfree = %g\nguarded-stages = %d\ncounted = 40%%\n"+
+		"counts-over = 2s\ncomplaints = 30%%\n", s.desk.URL(), strings.Join(caps, ", "), max(1, s.plan.Routers/2), f.window, f.free, f.guarded)
+	fmt.Fprintf(&b, "[rules]\ngrace = %s\ncold = %s\ncold-share = %g%%\ntip = %g\ntip-for = %s\n", f.grace, f.cold,
+		100*f.coldShare, f.tip, f.tipFor)
+	for _, w := range wishes {
+		repeat := []string{"retriable", "fingerprinted", "binding"}[w.Repeat]
+		fmt.Fprintf(&b, "[category %s]\nrepeat = %s\npaths = %s\npromised = %s\npatience = %s\n", w.Name, repeat, w.Path,
+			w.Promised, w.Patience)
+		if w.Repeat == logic.Fingerprinted {
+			fmt.Fprintf(&b, "memory = %s\n", w.Memory)
+		}
+	}
+	return x, os.WriteFile(x.file, []byte(b.String()), 0o600)
+}
+
+// open starts the router of a seat.
+func (s *stage) open(x *seat) error {
+	c, err := charter.Read(x.file)
+	if err != nil {
+		return err
+	}
+	bend, err := newWrong(s.plan.Breach, s.figures)
+	if err != nil {
+		return err
+	}
+	s.book.RouterUp(x.name)
+	i, err := instance.Start(c, s.log, bend)
+	if err != nil {
+		return err
+	}
+	x.mu.Lock()
+	x.instance = i
+	x.mu.Unlock()
+	return nil
+}
+
+// kill ends the router of a seat at once.
+func (s *stage) kill(x *seat) {
+	x.mu.Lock()
+	i := x.instance
+	x.instance = nil
+	x.mu.Unlock()
+	if i != nil {
+		s.book.RouterDown(x.name)
+		i.Kill()
+	}
+}
+
+// watch writes a line a second until all is played.
+func (s *stage) watch(playing <-chan struct{}, began time.Time, progress io.Writer) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-playing:
+			return
+		case <-t.C:
+		}
+		s.fleet.forgetTraffic()
+		score, open := s.clients.Second()
+		if progress == nil {
+			continue
+		}
+		n := s.desk.News()
+		fmt.Fprintf(progress, "%4.0f s  asked %5d  in time %5d  late %4d  turned back %4d  scrapped %3d  lost %3d  open %4d  "+
+			"build %d %s, stage %d\n", time.Since(began).Seconds(), score.Asked, score.InTime, score.Late, score.TurnedBack,
+			score.Scrapped, score.Lost+score.Refused, open, n.Build, phases[n.Phase], n.Stage)
+	}
+}
+
+var phases = []string{"on trial", "going back", "released", "withdrawn"}
+
+func (s *stage) close() {
+	for _, x := range s.routers {
+		x.mu.Lock()
+		if x.instance != nil {
+			x.instance.Kill()
+			x.instance = nil
+		}
+		x.mu.Unlock()
+	}
+	if s.fleet != nil {
+		s.fleet.close()
+	}
+	if s.desk != nil {
+		s.desk.Stop()
+	}
+	if s.register != nil {
+		s.register.Stop()
+	}
+}
--- /dev/null
+++ b/internal/day/report.go
@@ -0,0 +1,128 @@
+package day
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"dapplefront/internal/audit"
+	"dapplefront/internal/stand"
+)
+
+// Print writes what a person reads at a glance. The last line says how many rules were kept.
+func (r *Result) Print(w io.Writer) {
+	fmt.Fprintf(w, "\nday: %s; %v with %d routers, %d hosts in %d locations, %g tasks a second for each router\n", r.Plan.Name,
+		r.Plan.Length.Round(time.Second), r.Plan.Routers, r.Plan.Hosts, r.Plan.Locations, r.Plan.Rate)
+	for _, o := range r.Plan.Offers {
+		fmt.Fprintf(w, "  build offered at %5.1f s: %s\n", o.At.Seconds(), o.Kind)
+	}
+	for _, t := range r.Plan.Troubles {
+		fmt.Fprintf(w, "  trouble at %5.1f s for %4.1f s: %s", t.At.Seconds(), t.For.Seconds(), t.Kind)
+		if t.Share > 0 {
+			fmt.Fprintf(w, ", share %.0f%%", 100*t.Share)
+		}
+		if t.Size > 0 {
+			fmt.Fprintf(w, ", size %.2g", t.Size)
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintf(w, "\n%-10s %7s %8s %6s %12s %9s %8s %6s %6s %8s %8s\n", "category", "asked", "in time", "late", "turned back",
+		"scrapped", "refused", "lost", "wrong", "p50", "p99")
+	for _, wish := range wishes {
+		s, t := r.Scores[wish.Name], r.Times[wish.Name]
+		slices.Sort(t)
+		fmt.Fprintf(w, "%-10s %7d %7.2f%% %6d %12d %9d %8d %6d %6d %8s %8s\n", wish.Name, s.Asked,
+			100*float64(s.InTime)/max(1, float64(s.Asked)), s.Late, s.TurnedBack, s.Scrapped, s.Refused, s.Lost+s.Left, s.Wrong,
+			at(t, .5), at(t, .99))
+	}
+	fmt.Fprintf(w, "\n%-10s %8s  %s\n", "release", "moment", "step")
+	for _, m := range r.Moves {
+		fmt.Fprintf(w, "build %-4d %6.1f s  %s, stage %d\n", m.Build, m.At.Seconds(), phases[m.Phase], m.Stage)
+	}
+	fmt.Fprintf(w, "\n%-10s %9s  %s\n", "rule", "checked", "verdict")
+	for _, v := range r.Verdicts {
+		fmt.Fprintf(w, "%-10s %9d  %s\n", v.Rule, v.Checked, sentence(v))
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, r.Last())
+}
+
+func at(sorted []time.Duration, share float64) string {
+	if len(sorted) == 0 {
+		return "-"
+	}
+	return sorted[int(share*float64(len(sorted)-1))].Round(time.Millisecond).String()
+}
+
+func sentence(v audit.Verdict) string {
+	var out []string
+	if n := len(v.Broken); n > 0 {
+		out = append(out, fmt.Sprintf("broken %d times, first at %.2f s: %s", n, v.Broken[0].At.Seconds(), v.Broken[0].Text))
+	}
+	if n := len(v.Doubtful); n > 0 {
+		out = append(out, fmt.Sprintf("can't tell %d times, as the machine stood still, first at %.2f s: %s", n,
+			v.Doubtful[0].At.Seconds(), v.Doubtful[0].Text))
+	}
+	if len(out) == 0 {
+		return "kept"
+	}
+	return strings.Join(out, "; ")
+}
+
+// Last is the last line: what became of the rules, with the first that was not kept and the moment.
+func (r *Result) Last() string {
+	kept, first := r.Kept()
+	line := fmt.Sprintf("rules kept: %d of %d", kept, len(r.Verdicts))
+	switch {
+	case first == nil:
+	case len(first.Broken) > 0:
+		line += fmt.Sprintf("; broken: %s at %.2f s", first.Rule, first.Broken[0].At.Seconds())
+	default:
+		line += fmt.Sprintf("; can't tell: %s at %.2f s", first.Rule, first.Doubtful[0].At.Seconds())
+	}
+	return line
+}
+
+// Exit is the day's exit code: 0 when all rules were kept, 1 when one broke, 2 when the audit can't tell.
+func (r *Result) Exit() int {
+	kept, first := r.Kept()
+	switch {
+	case kept == len(r.Verdicts):
+		return 0
+	case len(first.Broken) > 0:
+		return 1
+	}
+	return 2
+}
+
+// WriteJSON writes the same for programs.
+func (r *Result) WriteJSON(w io.Writer) error {
+	type figure struct {
+		stand.Score
+		P50Ms, P99Ms float64
+	}
+	out := struct {
+		Plan       Plan
+		TookMs     int64
+		Categories map[string]figure
+		Moves      []stand.Move
+		Routers    any
+		Rules      []audit.Verdict
+		Last       string
+	}{r.Plan, r.Took.Milliseconds(), map[string]figure{}, r.Moves, r.Counts, r.Verdicts, r.Last()}
+	for name, s := range r.Scores {
+		t := slices.Clone(r.Times[name])
+		slices.Sort(t)
+		f := figure{Score: s}
+		if n := len(t); n > 0 {
+			f.P50Ms, f.P99Ms = t[n/2].Seconds()*1000, t[int(.99*float64(n-1))].Seconds()*1000
+		}
+		out.Categories[name] = f
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(out)
+}
--- /dev/null
+++ b/internal/stand/register.go
@@ -0,0 +1,390 @@
+package stand
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	edsv3 "github.com/envoyproxy/go-control-plane/envoy/service/endpoint/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+	"google.golang.org/protobuf/types/known/structpb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"dapplefront/internal/audit"
+	"dapplefront/internal/register"
+	"dapplefront/logic"
+)
+
+// Entry is one host in the list.
+type Entry struct {
+	Host     *Host
+	Standing logic.Standing
+}
+
+// Register is a stand-in for the host list: EDS over gRPC, one resource for each location, whole lists and changes.
+type Register struct {
+	edsv3.UnimplementedEndpointDiscoveryServiceServer
+	book    *audit.Book
+	server  *grpc.Server
+	address string
+	group   string
+
+	mu      sync.Mutex
+	entries map[uint32]Entry
+	version int
+	changed map[string]int // by resource, the version that it changed in
+	waiting map[chan struct{}]bool
+	down    bool
+	calls   map[chan struct{}]bool // streams, to cut
+	spoil   func(*endpointv3.ClusterLoadAssignment)
+	// Rejected are the reasons with which routers turned versions down.
+	rejected []string
+}
+
+// StartRegister serves the list of a group of hosts; book may be nil.
+func StartRegister(address, group string, book *audit.Book) (*Register, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("register: %w", err)
+	}
+	r := &Register{book: book, server: grpc.NewServer(), address: l.Addr().String(), group: group,
+		entries: map[uint32]Entry{}, changed: map[string]int{}, waiting: map[chan struct{}]bool{},
+		calls: map[chan struct{}]bool{}}
+	edsv3.RegisterEndpointDiscoveryServiceServer(r.server, r)
+	go func() { _ = r.server.Serve(l) }()
+	return r, nil
+}
+
+// Address is where it listens.
+func (r *Register) Address() string { return r.address }
+
+// Names are the resources of the locations.
+func (r *Register) Names(locations []string) (names []string) {
+	for _, l := range locations {
+		names = append(names, r.group+"/"+l)
+	}
+	return names
+}
+
+// Stop ends it.
+func (r *Register) Stop() { r.server.Stop() }
+
+// Set changes or adds entries; those that are gone are dropped from the list.
+func (r *Register) Set(entries ...Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	for _, e := range entries {
+		if e.Standing == logic.Gone {
+			delete(r.entries, e.Host.ID)
+		} else {
+			r.entries[e.Host.ID] = e
+		}
+		r.changed[r.group+"/"+e.Host.Location] = r.version
+	}
+	r.wake()
+}
+
+// Clear empties the list.
+func (r *Register) Clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	clear(r.entries)
+	for name := range r.changed {
+		r.changed[name] = r.version
+	}
+	r.wake()
+}
+
+// Spoil makes all lists wrong from now on, or right again with nil.
+func (r *Register) Spoil(how func(*endpointv3.ClusterLoadAssignment)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spoil = how
+	r.version++
+	for name := range r.changed {
+		r.changed[name] = r.version
+	}
+	r.wake()
+}
+
+// Rejected are the reasons with which routers turned versions down.
+func (r *Register) Rejected() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.rejected...)
+}
+
+// Down cuts all streams and refuses new ones, or takes them again.
+func (r *Register) Down(down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down = down; down {
+		for cut := range r.calls {
+			close(cut)
+			delete(r.calls, cut)
+		}
+	}
+}
+
+func (r *Register) wake() {
+	for w := range r.waiting {
+		select {
+		case w <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// enter starts a stream: news comes on wake, cut ends it.
+func (r *Register) enter() (wake, cut chan struct{}, leave func(), err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return nil, nil, nil, status.Error(codes.Unavailable, "out of reach")
+	}
+	wake, cut = make(chan struct{}, 1), make(chan struct{})
+	r.waiting[wake], r.calls[cut] = true, true
+	return wake, cut, func() {
+		r.mu.Lock()
+		delete(r.waiting, wake)
+		delete(r.calls, cut)
+		r.mu.Unlock()
+	}, nil
+}
+
+// resource is one location's list, with the standings in it.
+func (r *Register) resource(name string) (*anypb.Any, map[uint32]logic.Standing) {
+	a := &endpointv3.ClusterLoadAssignment{ClusterName: name}
+	standing := map[uint32]logic.Standing{}
+	byPlace := map[string]*endpointv3.LocalityLbEndpoints{}
+	for id, e := range r.entries {
+		if r.group+"/"+e.Host.Location != name {
+			continue
+		}
+		standing[id] = e.Standing
+		l := byPlace[e.Host.Location]
+		if l == nil {
+			l = &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: e.Host.Location}}
+			byPlace[e.Host.Location] = l
+			a.Endpoints = append(a.Endpoints, l)
+		}
+		l.LbEndpoints = append(l.LbEndpoints, endpoint(e))
+	}
+	if r.spoil != nil {
+		r.spoil(a)
+	}
+	raw, err := anypb.New(a)
+	if err != nil {
+		panic(err) // a message of our own making
+	}
+	return raw, standing
+}
+
+func endpoint(e Entry) *endpointv3.LbEndpoint {
+	host, port, _ := net.SplitHostPort(e.Host.Address())
+	n, _ := strconv.Atoi(port)
+	health := corev3.HealthStatus_HEALTHY
+	if e.Standing == logic.Draining {
+		health = corev3.HealthStatus_DRAINING
+	}
+	up := 0.0
+	if !e.Host.Up.IsZero() {
+		up = float64(e.Host.Up.UnixMilli())
+	}
+	fields := map[string]*structpb.Value{"build": structpb.NewNumberValue(float64(e.Host.Build.Number)),
+		"up": structpb.NewNumberValue(up), "cell": structpb.NewNumberValue(float64(e.Host.Cell)),
+		"id": structpb.NewNumberValue(float64(e.Host.ID))}
+	return &endpointv3.LbEndpoint{HealthStatus: health,
+		HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: &endpointv3.Endpoint{Address: &corev3.Address{
+			Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{Address: host,
+				PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: uint32(n)}}}}}},
+		LoadBalancingWeight: wrapperspb.UInt32(uint32(1000 * float64(e.Host.Cores) * e.Host.Speed)),
+		Metadata:            &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{register.Metadata: {Fields: fields}}}}
+}
+
+// acked notes what a router is now known to have been told.
+func (r *Register) acked(router string, sent map[uint32]logic.Standing, was map[uint32]logic.Standing) {
+	if r.book == nil {
+		return
+	}
+	now := map[uint32]logic.Standing{}
+	for id := range was {
+		now[id] = logic.Gone
+	}
+	for id, s := range sent {
+		now[id] = s
+	}
+	r.book.Listed(router, now)
+}
+
+// StreamEndpoints speaks the state-of-the-world protocol.
+func (r *Register) StreamEndpoints(s edsv3.EndpointDiscoveryService_StreamEndpointsServer) error {
+	wake, cut, leave, err := r.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	asks := make(chan *discoveryv3.DiscoveryRequest)
+	go receive(s.Context().Done(), s.Recv, asks)
+	var router string
+	var names []string
+	var sent, held map[uint32]logic.Standing
+	nonce, version := "", -1
+	for {
+		select {
+		case <-cut:
+			return status.Error(codes.Unavailable, "out of reach")
+		case ask, ok := <-asks:
+			if !ok {
+				return nil
+			}
+			if ask.GetNode() != nil {
+				router = ask.GetNode().GetId()
+			}
+			names = ask.GetResourceNames()
+			if ask.GetResponseNonce() != "" && ask.GetResponseNonce() == nonce {
+				if ask.GetErrorDetail() == nil {
+					r.acked(router, sent, held)
+					held = sent
+				} else {
+					r.turnedDown(ask.GetErrorDetail().GetMessage())
+				}
+				continue
+			}
+		case <-wake:
+		}
+		if names == nil {
+			continue
+		}
+		r.mu.Lock()
+		if r.version == version {
+			r.mu.Unlock()
+			continue
+		}
+		version = r.version
+		out := &discoveryv3.DiscoveryResponse{VersionInfo: strconv.Itoa(version), TypeUrl: register.TypeURL,
+			Nonce: fmt.Sprint("n", version, "-", time.Now().UnixNano())}
+		sent = map[uint32]logic.Standing{}
+		for _, name := range names {
+			raw, standing := r.resource(name)
+			out.Resources = append(out.Resources, raw)
+			for id, st := range standing {
+				sent[id] = st
+			}
+		}
+		r.mu.Unlock()
+		nonce = out.Nonce
+		if err := s.Send(out); err != nil {
+			return err
+		}
+	}
+}
+
+// DeltaEndpoints speaks the incremental protocol.
+func (r *Register) DeltaEndpoints(s edsv3.EndpointDiscoveryService_DeltaEndpointsServer) error {
+	wake, cut, leave, err := r.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	asks := make(chan *discoveryv3.DeltaDiscoveryRequest)
+	go receive(s.Context().Done(), s.Recv, asks)
+	var router, nonce string
+	names := map[string]bool{}
+	has := map[string]int{}
+	var pending map[string]map[uint32]logic.Standing
+	held := map[string]map[uint32]logic.Standing{}
+	first := true
+	for {
+		select {
+		case <-cut:
+			return status.Error(codes.Unavailable, "out of reach")
+		case ask, ok := <-asks:
+			if !ok {
+				return nil
+			}
+			if ask.GetNode() != nil {
+				router = ask.GetNode().GetId()
+			}
+			for _, n := range ask.GetResourceNamesSubscribe() {
+				names[n] = true
+			}
+			for n, v := range ask.GetInitialResourceVersions() {
+				has[n], _ = strconv.Atoi(v)
+			}
+			if ask.GetResponseNonce() != "" && ask.GetResponseNonce() == nonce {
+				if ask.GetErrorDetail() != nil {
+					r.turnedDown(ask.GetErrorDetail().GetMessage())
+				} else {
+					for name, standing := range pending {
+						r.acked(router, standing, held[name])
+						held[name] = standing
+					}
+				}
+				nonce = ""
+			} else if ask.GetResponseNonce() != "" {
+				continue
+			}
+		case <-wake:
+		}
+		if nonce != "" || len(names) == 0 { // one at a time
+			continue
+		}
+		out := &discoveryv3.DeltaDiscoveryResponse{TypeUrl: register.TypeURL}
+		r.mu.Lock()
+		pending = map[string]map[uint32]logic.Standing{}
+		for name := range names {
+			v, ok := has[name]
+			if ok && v == r.changed[name] {
+				continue
+			}
+			raw, standing := r.resource(name)
+			out.Resources = append(out.Resources, &discoveryv3.Resource{Name: name, Version: strconv.Itoa(r.changed[name]),
+				Resource: raw})
+			has[name], pending[name] = r.changed[name], standing
+		}
+		out.SystemVersionInfo = strconv.Itoa(r.version)
+		r.mu.Unlock()
+		if len(out.Resources) == 0 && !first {
+			continue
+		}
+		first = false
+		nonce = fmt.Sprint("n", out.SystemVersionInfo, "-", time.Now().UnixNano())
+		out.Nonce = nonce
+		if err := s.Send(out); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Register) turnedDown(why string) {
+	r.mu.Lock()
+	r.rejected = append(r.rejected, why)
+	r.mu.Unlock()
+}
+
+func receive[T proto.Message](done <-chan struct{}, recv func() (T, error), to chan<- T) {
+	defer close(to)
+	for {
+		m, err := recv()
+		if err != nil {
+			return
+		}
+		select {
+		case to <- m:
+		case <-done:
+			return
+		}
+	}
+}
