Never post to the loop under a lock; write heads and bodies without Writev

Links and guests now read first and post after. nbio's Writev (v1.6.8) loses data on partial writes and doesn't tell of whole ones, so that connections counted as unread were closed after 10 s: a head and a small body now go out in one Write.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -201,13 +201,7 @@
 	l.reader.Expect(s.bodyless)
 	l.mu.Unlock()
 	s.written = true
-	var none bool
-	var err error
-	if len(s.body) == 0 {
-		none, err = l.conn.Write(s.head)
-	} else {
-		none, err = l.conn.Write(s.head, s.body)
-	}
+	none, err := l.conn.Write(s.head, s.body)
 	if err != nil && none {
 		l.send = nil
 		s.end(Result{Fate: logic.NeverSent, Why: "the link was closed: " + err.Error()})
@@ -315,6 +309,14 @@
 
 // Data reads what a host sends (sock.Session).
 func (l *link) Data(data []byte) {
+	if work := l.read(data); work != nil {
+		l.pool.loop.Post(work)
+	}
+}
+
+// read reads on and returns what the loop has to know. The lock is not held any more when the loop is told: its work
+// may come to this very link.
+func (l *link) read(data []byte) (work func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for !l.ended {
@@ -323,11 +325,10 @@
 		if err != nil {
 			l.ended = true
 			l.reader.Drop()
-			l.pool.loop.Post(func() { l.broken(err) })
-			return
+			return func() { l.broken(err) }
 		}
 		if event == http1.More {
-			return
+			return nil
 		}
 		if event != http1.Whole {
 			continue
@@ -337,9 +338,9 @@
 			continue
 		}
 		more := len(data) > 0 // nothing was asked that this could answer
-		l.pool.loop.Post(func() { l.answered(m, more) })
-		return
+		return func() { l.answered(m, more) }
 	}
+	return nil
 }
 
 // Wrote is of no interest here (sock.Session).
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -72,16 +72,23 @@
 	return strings.Join(out, "; ")
 }
 
-// Last is the last line: what became of the rules, with the first that was not kept and the moment.
+// Last is the last line: what became of the rules, with those that were not kept and the first moment of each.
 func (r *Result) Last() string {
-	kept, first := r.Kept()
+	kept, _ := r.Kept()
+	var broken, doubtful []string
+	for _, v := range r.Verdicts {
+		if len(v.Broken) > 0 {
+			broken = append(broken, fmt.Sprintf("%s at %.2f s", v.Rule, v.Broken[0].At.Seconds()))
+		} else if len(v.Doubtful) > 0 {
+			doubtful = append(doubtful, fmt.Sprintf("%s at %.2f s", v.Rule, v.Doubtful[0].At.Seconds()))
+		}
+	}
 	line := fmt.Sprintf("rules kept: %d of %d", kept, len(r.Verdicts))
-	switch {
-	case first == nil:
-	case len(first.Broken) > 0:
-		line += fmt.Sprintf("; broken: %s at %.2f s", first.Rule, first.Broken[0].At.Seconds())
-	default:
-		line += fmt.Sprintf("; can't tell: %s at %.2f s", first.Rule, first.Doubtful[0].At.Seconds())
+	if len(broken) > 0 {
+		line += "; broken: " + strings.Join(broken, ", ")
+	}
+	if len(doubtful) > 0 {
+		line += "; can't tell: " + strings.Join(doubtful, ", ")
 	}
 	return line
 }
--- a/internal/front/guest.go
+++ b/internal/front/guest.go
@@ -43,6 +43,14 @@
 
 // Data reads what a client sends (sock.Session).
 func (g *guest) Data(data []byte) {
+	for _, work := range g.read(data) {
+		g.door.loop.Post(work)
+	}
+}
+
+// read reads on and returns what the loop has to know. The lock is not held any more when the loop is told: its work
+// may come to this very guest.
+func (g *guest) read(data []byte) (work []func()) {
 	now := int64(g.door.loop.Now())
 	g.heard.Store(now)
 	g.mu.Lock()
@@ -56,18 +64,17 @@
 		if err != nil {
 			g.deaf = true
 			g.reader.Drop()
-			g.door.loop.Post(func() { g.refuse(err.(*http1.Bad)) })
-			return
+			return append(work, func() { g.refuse(err.(*http1.Bad)) })
 		}
 		switch event {
 		case http1.More:
 			if g.reader.Idle() {
 				g.begun.Store(0)
 			}
-			return
+			return work
 		case http1.Head:
 			if m := g.reader.Peek(); strings.EqualFold(m.Get("Expect"), "100-continue") && g.owed.Load() == 0 {
-				_, _ = g.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+				_, _ = g.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil)
 			}
 		case http1.Whole:
 			m, begun := g.reader.Take(), logic.Time(g.begun.Load())
@@ -76,12 +83,12 @@
 				g.deaf = true
 				m.Drop()
 				g.conn.Close()
-				return
+				return work
 			}
 			if m.Closes() {
 				g.deaf = true // what follows a last request is not looked at
 			}
-			g.door.loop.Post(func() {
+			work = append(work, func() {
 				if g.gone {
 					m.Drop()
 					return
@@ -90,6 +97,7 @@
 			})
 		}
 	}
+	return work
 }
 
 // Wrote is of no interest here (sock.Session).
@@ -194,12 +202,7 @@
 			g.conn.Close() // it asks and doesn't read
 			return
 		}
-		var err error
-		if len(next.body) == 0 {
-			_, err = g.conn.Write(next.head)
-		} else {
-			_, err = g.conn.Write(next.head, next.body)
-		}
+		_, err := g.conn.Write(next.head, next.body)
 		next.head, next.body = nil, nil
 		if err != nil {
 			return // its end follows
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -2,7 +2,8 @@
 // lock on what the pieces share and no goroutine to wake. It also keeps the instance's clock and alarms.
 //
 // Post hands in a piece of work. If no other goroutine is at work it is run at once, with whatever is posted
-// meanwhile; otherwise it waits in line. Work must not block.
+// meanwhile; otherwise it waits in line. So whoever posts must not hold a lock that any work takes, and work must not
+// block.
 package loop
 
 import (
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -30,23 +30,26 @@
 	since   atomic.Int64 // when writing began to wait for the peer, in ns; 0 while nothing waits
 }
 
-// Write hands bytes to the kernel or keeps them until it takes them. It reports how many bytes surely have not been
-// handed over when it fails: all of them (none true), or some.
-func (c *Conn) Write(parts ...[]byte) (none bool, err error) {
-	size := 0
-	for _, p := range parts {
-		size += len(p)
-	}
+// Write hands a head and a body to the kernel, or keeps them until it takes them. When it fails, none tells whether
+// surely no byte has been handed over.
+//
+// It doesn't use nbio's Writev, which (in v1.6.8) loses what follows a buffer that the kernel takes in part, all of it
+// where the kernel takes nothing, and doesn't tell of what it has written in one go.
+func (c *Conn) Write(head, body []byte) (none bool, err error) {
+	const small = 32 << 10 // a copy of so much costs less than another call of the kernel
+	size := len(head) + len(body)
 	if c.pending.Add(int64(size)) == int64(size) {
 		c.since.Store(time.Now().UnixNano())
 	}
-	var n int
-	if len(parts) == 1 {
-		n, err = c.nb.Write(parts[0])
-	} else {
-		n, err = c.nb.Writev(parts)
+	if len(body) > 0 && len(body) <= small {
+		head, body = append(head[:len(head):len(head)], body...), nil
+	}
+	n, err := c.nb.Write(head)
+	if err != nil || len(body) == 0 {
+		return err != nil && n <= 0, err
 	}
-	return err != nil && n <= 0, err
+	_, err = c.nb.Write(body)
+	return false, err
 }
 
 // Pending is how many bytes wait for the peer to read, and since when; the time is zero where none do.
