--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -51,6 +51,7 @@
 	state state
 	buf   []byte // head, or the line in hand
 	seen  int    // how far buf was searched for the head's end
+	ahead int    // bytes of empty lines that were passed over before it
 	left  int    // of body or chunk
 	msg   *Message
 }
@@ -72,7 +73,7 @@
 // Take hands over a whole message; the next bytes start another one.
 func (r *Reader) Take() *Message {
 	m := r.msg
-	r.msg, r.state, r.seen, r.buf = nil, inHead, 0, r.buf[:0]
+	r.msg, r.state, r.seen, r.ahead, r.buf = nil, inHead, 0, 0, r.buf[:0]
 	return m
 }
 
@@ -225,8 +226,9 @@
 // head collects a head and reads it once it is whole.
 func (r *Reader) head(data []byte) (used int, err error) {
 	if len(r.buf) == 0 && !r.response { // empty lines before a request
-		for used < len(data) && used < 2*mostAhead && (data[used] == '\r' || data[used] == '\n') {
+		for used < len(data) && r.ahead < 2*mostAhead && (data[used] == '\r' || data[used] == '\n') {
 			used++
+			r.ahead++
 		}
 		data = data[used:]
 	}
--- /dev/null
+++ b/internal/instance/peer_test.go
@@ -0,0 +1,329 @@
+package instance
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"runtime/pprof"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dapplefront/internal/charter"
+	"dapplefront/internal/sheet"
+	"dapplefront/internal/stand"
+	"dapplefront/logic"
+)
+
+// The benchmarks run the router, and its peer, in a process of their own, so that what the hosts and the load cost
+// is not counted. Each is told by the environment what to run.
+func TestMain(m *testing.M) {
+	switch os.Getenv("DAPPLEFRONT_BENCH") {
+	case "router":
+		s := sheet.Parse("bench", os.Getenv("DAPPLEFRONT_CHARTER"))
+		c := charter.From(s)
+		if err := s.Done(); err != nil {
+			fmt.Println("error", err)
+			os.Exit(2)
+		}
+		i, err := Start(c, slog.New(slog.DiscardHandler), nil)
+		if err != nil {
+			fmt.Println("error", err)
+			os.Exit(2)
+		}
+		fmt.Println(i.Address())
+		if file := os.Getenv("DAPPLEFRONT_PROFILE"); file != "" { // of the first seconds under load
+			time.Sleep(time.Second)
+			f, err := os.Create(file)
+			if err == nil && pprof.StartCPUProfile(f) == nil {
+				time.Sleep(4 * time.Second)
+				pprof.StopCPUProfile()
+				_ = f.Close()
+			}
+		}
+		select {}
+	case "hosts":
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			fmt.Println("error", err)
+			os.Exit(2)
+		}
+		fmt.Println(l.Addr())
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(4 * time.Second)
+			_, _ = io.WriteString(w, "right")
+		}))
+	case "peer":
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			fmt.Println("error", err)
+			os.Exit(2)
+		}
+		fmt.Println(l.Addr())
+		_ = http.Serve(l, twoChoices(strings.Split(os.Getenv("DAPPLEFRONT_HOSTS"), ",")))
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+// twoChoices is net/http's reverse proxy, with the less busy of two random hosts by open requests.
+func twoChoices(hosts []string) http.Handler {
+	open := make([]atomic.Int64, len(hosts))
+	type at struct{}
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxIdleConns, t.MaxIdleConnsPerHost = 0, 256
+	proxy := &httputil.ReverseProxy{Transport: t, Rewrite: func(r *httputil.ProxyRequest) {
+		r.SetURL(&url.URL{Scheme: "http", Host: hosts[r.In.Context().Value(at{}).(int)]})
+		r.SetXForwarded()
+	}}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a, b := rand.IntN(len(hosts)), rand.IntN(len(hosts))
+		if open[b].Load() < open[a].Load() {
+			a = b
+		}
+		open[a].Add(1)
+		defer open[a].Add(-1)
+		proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), at{}, a)))
+	})
+}
+
+// child is a router or its peer in another process.
+type child struct {
+	cmd     *exec.Cmd
+	address string
+}
+
+func run(b *testing.B, env ...string) *child {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), env...)
+	c.Stderr = os.Stderr
+	out, err := c.StdoutPipe()
+	require.NoError(b, err)
+	require.NoError(b, c.Start())
+	b.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() })
+	line, err := bufio.NewReader(out).ReadString('\n')
+	require.NoError(b, err)
+	require.False(b, strings.HasPrefix(line, "error"), line)
+	return &child{c, strings.TrimSpace(line)}
+}
+
+// cpu is the processor time that all its threads have used.
+func (c *child) cpu(b *testing.B) time.Duration {
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", c.cmd.Process.Pid))
+	require.NoError(b, err)
+	var sum time.Duration
+	for _, t := range all {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/task/%s/schedstat", c.cmd.Process.Pid, t.Name()))
+		if err == nil {
+			ns, _ := strconv.ParseInt(strings.Fields(string(text))[0], 10, 64)
+			sum += time.Duration(ns)
+		}
+	}
+	return sum
+}
+
+// memory is its resident size in bytes.
+func (c *child) memory(b *testing.B) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.cmd.Process.Pid))
+	require.NoError(b, err)
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// quick starts hosts that answer at once, or after a while.
+func quick(b *testing.B, n int, after time.Duration) (hosts []string) {
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(after)
+			w.Header().Set("Endpoint-Load-Metrics", "TEXT named_metrics.active=1")
+			_, _ = io.WriteString(w, "right")
+		})}
+		go func() { _ = s.Serve(l) }()
+		b.Cleanup(func() { _ = s.Close() })
+		hosts = append(hosts, l.Addr().String())
+	}
+	return hosts
+}
+
+// routed starts a router for the hosts.
+func routed(b *testing.B, hosts []string, patience string) *child {
+	register, err := stand.StartRegister("127.0.0.1:0", "shop", nil)
+	require.NoError(b, err)
+	b.Cleanup(register.Stop)
+	desk, err := stand.StartDesk("127.0.0.1:0", 1, stand.DeskFigures{VotesASecond: 30, Repeat: time.Second}, nil)
+	require.NoError(b, err)
+	b.Cleanup(desk.Stop)
+	for i, h := range hosts {
+		register.Set(stand.Entry{Host: stand.Elsewhere(h, stand.Machine{ID: uint32(i + 1), Location: "here", Cores: 1,
+			Speed: 1}, 1), Standing: logic.Serving})
+	}
+	c := run(b, "DAPPLEFRONT_BENCH=router", "DAPPLEFRONT_CHARTER="+fmt.Sprintf(`
+[router]
+name = r
+location = here
+listen = 127.0.0.1:0
+[hosts]
+links = 20000
+[register]
+address = %s
+names = shop/here
+[desk]
+url = %s
+[category quote]
+repeat = retriable
+paths = /
+promised = %s
+patience = %s
+`, register.Address(), desk.URL(), patience, patience))
+	time.Sleep(300 * time.Millisecond)
+	return c
+}
+
+// paced asks for n tasks over some connections at a rate, and returns the times of the answers.
+func paced(b *testing.B, address string, n, conns int, rate float64) []time.Duration {
+	began := time.Now()
+	var next atomic.Int64
+	times := make([]time.Duration, n)
+	var wait sync.WaitGroup
+	var bad atomic.Int64
+	for range conns {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				bad.Add(1)
+				return
+			}
+			defer c.Close()
+			in := bufio.NewReader(c)
+			for {
+				i := int(next.Add(1)) - 1
+				if i >= n {
+					return
+				}
+				due := began.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+				time.Sleep(time.Until(due))
+				_, err := io.WriteString(c, "POST /quote HTTP/1.1\r\nHost: r\r\nUser-Agent: bench\r\nContent-Length: 5\r\n\r\nhello")
+				var got *http.Response
+				if err == nil {
+					got, err = http.ReadResponse(in, nil)
+				}
+				if err != nil {
+					bad.Add(1)
+					return
+				}
+				_, _ = io.Copy(io.Discard, got.Body)
+				if got.StatusCode != 200 {
+					bad.Add(1)
+				}
+				times[i] = time.Since(due) // from when it was due: a late start counts
+			}
+		}()
+	}
+	wait.Wait()
+	if n := bad.Load(); n > 0 {
+		b.Logf("%d of %d tasks were not answered with 200", n, len(times))
+	}
+	return times
+}
+
+// BenchmarkPeer compares the router with net/http's reverse proxy and two random choices: the same hosts, load and
+// run. It reports processor time for a task and its share of the peer's. -benchtime 6000x asks for 6000 tasks each.
+func BenchmarkPeer(b *testing.B) {
+	for _, size := range []struct {
+		hosts, conns int
+		rate         float64
+	}{{4, 64, 1000}, {24, 64, 1000}, {300, 64, 1000}, {24, 64, 4000}} {
+		b.Run(fmt.Sprintf("hosts=%d/rate=%.0f", size.hosts, size.rate), func(b *testing.B) {
+			hosts := quick(b, size.hosts, 0)
+			ours := routed(b, hosts, "2s")
+			peer := run(b, "DAPPLEFRONT_BENCH=peer", "DAPPLEFRONT_HOSTS="+strings.Join(hosts, ","))
+			measure := func(c *child) (cpu time.Duration, times []time.Duration) {
+				paced(b, c.address, max(500, b.N/10), size.conns, size.rate) // warm links
+				was := c.cpu(b)
+				times = paced(b, c.address, b.N, size.conns, size.rate)
+				slices.Sort(times)
+				return c.cpu(b) - was, times
+			}
+			b.ResetTimer()
+			a, at := measure(ours)
+			z, zt := measure(peer)
+			b.StopTimer()
+			n := float64(b.N)
+			b.ReportMetric(a.Seconds()*1e6/n, "router-us/task")
+			b.ReportMetric(z.Seconds()*1e6/n, "peer-us/task")
+			b.ReportMetric(float64(a)/float64(z), "cpu-share")
+			b.ReportMetric(at[len(at)*99/100].Seconds()*1e6, "router-p99-us")
+			b.ReportMetric(zt[len(zt)*99/100].Seconds()*1e6, "peer-p99-us")
+		})
+	}
+}
+
+// BenchmarkMemory tells what 10,000 idle connections, then as many open tasks as are taken of 8,000, cost in resident memory: an open
+// task also holds a link to a host here. The hosts are a process of their own, as one may open 20,000 files.
+func BenchmarkMemory(b *testing.B) {
+	const conns, open = 10_000, 8_000
+	var hosts []string
+	for range 8 {
+		hosts = append(hosts, run(b, "DAPPLEFRONT_BENCH=hosts").address)
+	}
+	ours := routed(b, hosts, "60s")
+	base := ours.memory(b)
+	var all []net.Conn
+	for range conns {
+		c, err := net.Dial("tcp", ours.address)
+		require.NoError(b, err)
+		all = append(all, c)
+	}
+	time.Sleep(500 * time.Millisecond)
+	idle := ours.memory(b)
+	for _, c := range all[:open] {
+		_, _ = io.WriteString(c, "GET /quote HTTP/1.1\r\nHost: r\r\n\r\n")
+		time.Sleep(100 * time.Microsecond)
+	}
+	time.Sleep(time.Second)
+	busy := ours.memory(b)
+	var answers atomic.Int64
+	var wait sync.WaitGroup
+	for _, c := range all {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			_ = c.SetReadDeadline(time.Now().Add(6 * time.Second))
+			if got, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && got.StatusCode == 200 {
+				answers.Add(1)
+			}
+			_ = c.Close()
+		}()
+	}
+	wait.Wait()
+	b.ReportMetric(float64(idle-base)/conns, "B/idle-conn")
+	// The module turns back what it holds to be too much for eight hosts; the rest was open when it was measured.
+	b.ReportMetric(float64(busy-idle)/float64(max(1, answers.Load())), "B/open-task")
+	b.ReportMetric(float64(answers.Load()), "open-tasks")
+	for range b.N { // one measurement, whatever is asked for
+	}
+}
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,82 @@
+package loop
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dapplefront/logic"
+)
+
+func TestWorkIsDoneOneAtATimeAndInOrder(t *testing.T) {
+	l := New()
+	defer l.Close()
+	inside, order := 0, map[int][]int{}
+	var wait sync.WaitGroup
+	for g := range 8 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range 500 {
+				l.Post(func() {
+					inside++
+					if inside != 1 {
+						t.Error("two at once")
+					}
+					order[g] = append(order[g], i)
+					inside--
+				})
+			}
+		}()
+	}
+	wait.Wait()
+	l.Do(func() {
+		for g := range 8 {
+			require.Len(t, order[g], 500)
+			require.IsIncreasing(t, order[g])
+		}
+	})
+}
+
+func TestAlarmsRingInTheirOrderUnlessTakenBack(t *testing.T) {
+	l := New()
+	defer l.Close()
+	rung := make(chan string, 4)
+	l.Do(func() {
+		l.After(300, func() { rung <- "third" })
+		l.After(200, func() { rung <- "second" })
+		l.After(100, func() { rung <- "first" })
+		back := l.After(50, func() { rung <- "taken back" })
+		l.Stop(back)
+		l.Stop(back)
+	})
+	for _, want := range []string{"first", "second", "third"} {
+		select {
+		case got := <-rung:
+			require.Equal(t, want, got)
+		case <-time.After(10 * time.Second):
+			t.Fatal("no alarm")
+		}
+	}
+}
+
+func TestWorkPostedByWorkComesAfterIt(t *testing.T) {
+	l := New()
+	var order []string
+	l.Post(func() {
+		l.Post(func() { order = append(order, "second") })
+		order = append(order, "first")
+	})
+	require.Equal(t, []string{"first", "second"}, order)
+	l.Close()
+	l.Post(func() { order = append(order, "never") })
+	require.False(t, l.Do(func() {}))
+	require.Len(t, order, 2)
+}
+
+func TestSpansAndDurations(t *testing.T) {
+	require.Equal(t, logic.Second, Span(time.Second))
+	require.Equal(t, 1500*time.Millisecond, Duration(15_000))
+}
--- /dev/null
+++ b/internal/register/register_test.go
@@ -0,0 +1,84 @@
+package register
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/structpb"
+
+	"dapplefront/logic"
+	"dapplefront/router"
+)
+
+func endpoint(ip string, port uint32, fields map[string]any) *endpointv3.LbEndpoint {
+	meta, _ := structpb.NewStruct(fields)
+	return &endpointv3.LbEndpoint{Metadata: &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{Metadata: meta}},
+		HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: &endpointv3.Endpoint{Address: &corev3.Address{
+			Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{Address: ip,
+				PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: port}}}}}}}
+}
+
+func TestAnEndpointThatMakesNoSenseIsNamed(t *testing.T) {
+	for want, e := range map[string]*endpointv3.LbEndpoint{
+		"socket_address":   endpoint("here", 1, map[string]any{"build": 1}),
+		"an IP address":    endpoint("127.0.0.1", 0, map[string]any{"build": 1}),
+		"build is missing": endpoint("127.0.0.1", 1, nil),
+		"build: a whole":   endpoint("127.0.0.1", 1, map[string]any{"build": 1.5}),
+		"up: a whole":      endpoint("127.0.0.1", 1, map[string]any{"build": 1, "up": "soon"}),
+		"id: a whole":      endpoint("127.0.0.1", 1, map[string]any{"build": 1, "id": -1}),
+	} {
+		a := &endpointv3.ClusterLoadAssignment{ClusterName: "shop/here", Endpoints: []*endpointv3.LocalityLbEndpoints{
+			{Locality: &corev3.Locality{Zone: "here"}, LbEndpoints: []*endpointv3.LbEndpoint{endpoint("127.0.0.1", 9,
+				map[string]any{"build": 1}), e}}}}
+		_, err := read(a)
+		require.ErrorContains(t, err, "shop/here: endpoints[0].lb_endpoints[1]")
+		require.ErrorContains(t, err, want)
+	}
+	_, err := read(&endpointv3.ClusterLoadAssignment{Endpoints: []*endpointv3.LocalityLbEndpoints{{}}})
+	require.ErrorContains(t, err, "locality.zone is missing")
+}
+
+func at(id uint32, address string) Host {
+	return Host{Host: router.Host{ID: id, Location: "here", Build: 1, Size: 1}, Address: address}
+}
+
+func TestAListIsTakenInWholeOrNotAtAll(t *testing.T) {
+	l := newList()
+	changes, err := l.put(map[string]resource{"a": {"1", []Host{at(1, "x:1"), at(2, "x:2")}}, "b": {"1", []Host{at(3, "x:3")}}}, nil)
+	require.NoError(t, err)
+	require.Len(t, changes, 3)
+	_, err = l.put(map[string]resource{"a": {"2", nil}, "b": {"2", []Host{at(4, "x:4"), at(4, "x:5")}}}, nil)
+	require.ErrorContains(t, err, "host 4 stands twice")
+	_, err = l.put(map[string]resource{"b": {"2", []Host{at(4, "x:1")}}}, nil)
+	require.ErrorContains(t, err, "x:1 is the address of two hosts")
+	require.Len(t, l.all(), 3, "the last good list stays")
+	changes, err = l.put(map[string]resource{"a": {"3", []Host{at(1, "x:1"), at(5, "x:2")}}}, []string{"b"})
+	require.NoError(t, err)
+	gone := map[uint32]logic.Standing{}
+	for _, h := range changes {
+		gone[h.ID] = h.Standing
+	}
+	require.Equal(t, map[uint32]logic.Standing{2: logic.Gone, 3: logic.Gone, 5: logic.Serving}, gone)
+}
+
+func TestTheLastListIsKeptWholeOrNotRead(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "list")
+	hosts, err := Last(file)
+	require.NoError(t, err)
+	require.Empty(t, hosts)
+	require.NoError(t, Keep(file, []Host{at(1, "x:1")}))
+	hosts, err = Last(file)
+	require.NoError(t, err)
+	require.Equal(t, []Host{at(1, "x:1")}, hosts)
+	text, _ := os.ReadFile(file)
+	require.NoError(t, os.WriteFile(file, text[:len(text)/2], 0o600))
+	_, err = Last(file)
+	require.ErrorContains(t, err, file)
+	require.NoError(t, os.WriteFile(file, []byte(`{"format":2}`), 0o600))
+	_, err = Last(file)
+	require.ErrorContains(t, err, "format 1 expected")
+}
--- /dev/null
+++ b/internal/sheet/sheet_test.go
@@ -0,0 +1,69 @@
+package sheet
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEveryMistakeIsToldWithItsLine(t *testing.T) {
+	s := Parse("f.ini", `
+[a]
+span = 5
+share = 120%
+share = 3%
+rate = fast
+size = 3MB
+where = nowhere
+word = other
+on = yes
+nets = 10.0.0.1/8
+nonsense
+odd = 1
+[b
+[c]
+x = 1 # said
+`)
+	p := s.Part("a")
+	p.Span("span", "1s")
+	p.Share("share", "1%")
+	p.Number("rate", "1", 0, 10)
+	p.Bytes("size", "1KiB")
+	p.Address("where", "127.0.0.1:1")
+	p.OneOf("word", "one", "one", "two")
+	p.Switch("on", "off")
+	p.Networks("nets", "")
+	p.Text("needed", "!")
+	require.Equal(t, 1, s.Part("c").Whole("x", "0", 0, 5))
+	text := s.Done().Error()
+	for _, want := range []string{"f.ini:3: [a] span = 5: a time with a unit", "f.ini:4: [a] share = 120%: a share",
+		"f.ini:5: share stands on line 4 already", "f.ini:6: [a] rate = fast: a number from 0 to 10 expected", "f.ini:7: [a] size",
+		"f.ini:8: [a] where", "f.ini:9: [a] word = other: one or two expected", "f.ini:10: [a] on = yes: on or off expected",
+		"f.ini:11: [a] nets", "f.ini:12: name = value expected", `f.ini:13: no one knows "odd" in [a]`, "f.ini:14: [section] expected",
+		"f.ini:2: [a] needed is missing"} {
+		require.Contains(t, text, want)
+	}
+}
+
+func TestDefaultsAndValues(t *testing.T) {
+	s := Parse("f.ini", "[a]\nspan = 250ms\nlist = x, y ,\nsize = 2MiB\nshares = 1%, 50%\n[kind one]\n[kind two]\n")
+	p := s.Part("a")
+	require.Equal(t, 250*time.Millisecond, p.Span("span", "1s"))
+	require.Equal(t, []string{"x", "y"}, p.List("list", ""))
+	require.Equal(t, 2<<20, p.Bytes("size", "1B"))
+	require.Equal(t, []float64{.01, .5}, p.Shares("shares", "1%"))
+	require.Equal(t, time.Second, p.Span("other", "1s"))
+	_, names := s.Parts("kind")
+	require.Equal(t, []string{"one", "two"}, names)
+	require.NoError(t, s.Done())
+}
+
+func TestAFileThatIsNotThere(t *testing.T) {
+	s := Read(filepath.Join(t.TempDir(), "none.ini"))
+	s.Part("a").Text("b", "!")
+	require.ErrorIs(t, func() error { _, err := os.Stat("none"); return err }(), os.ErrNotExist)
+	require.ErrorContains(t, s.Done(), "can't be read")
+}
--- a/internal/stand/desk.go
+++ b/internal/stand/desk.go
@@ -39,6 +39,7 @@
 type Desk struct {
 	figures DeskFigures
 	book    *audit.Book
+	cuts    chan struct{} // closed to cut all watches
 	server  *http.Server
 	listen  net.Listener
 	stop    chan struct{}
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("desk: %w", err)
 	}
-	d := &Desk{figures: f, book: book, listen: l, stop: make(chan struct{}), machine: release.New(f.Rules, build),
+	d := &Desk{figures: f, book: book, listen: l, cuts: make(chan struct{}), stop: make(chan struct{}), machine: release.New(f.Rules, build),
 		changed: make(chan struct{}), counts: map[countKey]*countOf{}, votedAt: time.Now(), votes: 2 * f.VotesASecond}
 	d.show(d.machine.News(), 0)
 	mux := http.NewServeMux()
@@ -127,6 +128,14 @@
 	_ = d.server.Close()
 }
 
+// cut ends all watches; routers take them up again.
+func (d *Desk) cut() {
+	d.mu.Lock()
+	close(d.cuts)
+	d.cuts = make(chan struct{})
+	d.mu.Unlock()
+}
+
 // Lateness makes news, counts and complaints later than usual; Still lets votes go unanswered.
 func (d *Desk) Lateness(extra time.Duration) { d.mu.Lock(); d.extra = extra; d.mu.Unlock() }
 
@@ -344,6 +353,9 @@
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(200)
 	flusher.Flush()
+	d.mu.Lock()
+	cut := d.cuts
+	d.mu.Unlock()
 	for {
 		d.mu.Lock()
 		if fresh {
@@ -370,6 +382,8 @@
 		flusher.Flush()
 		select {
 		case <-changed:
+		case <-cut:
+			return
 		case <-r.Context().Done():
 			return
 		case <-d.stop:
