--- a/agent/machine.go
+++ b/agent/machine.go
@@ -448,6 +448,12 @@
 	m.do(AskDrain{r.Digest})
 }
 
+// again checks a build anew before it is started.
+func (m *Machine) again(r *Run) {
+	r.Phase, r.Checked, r.Since = Checking, false, m.now
+	m.check(r)
+}
+
 // fall answers the end of a build that was listed.
 func (m *Machine) fall(r *Run) {
 	m.do(List{r.Digest, Unlisted})
@@ -483,13 +489,15 @@
 		switch r.Phase {
 		case Fetching:
 			m.fetch(r)
+		case Staged: // no one has looked at its files meanwhile
+			m.again(r)
 		case Checking:
 			m.check(r)
 		case Starting:
 			if lives {
 				m.do(Watch{r.Digest})
 			} else {
-				m.start(r)
+				m.again(r)
 			}
 		case Warming, Serving:
 			if !lives {
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -6,6 +6,8 @@
 //	GET  /v1/watch?router=NAME                 server-sent events: news, counts, complaint; resumed by Last-Event-ID
 //	PUT  /v1/releases/{build}/votes/{router}   a vote; 200 counted, 409 moot, 429 too many
 //	POST /v1/complaints                        a client found an answer wrong
+//	GET  /v1/agents/{name}/orders              server-sent events: order; resumed by Last-Event-ID
+//	POST /v1/agents/{name}/reports             what an agent's builds have gone through, in order
 package api
 
 import (
@@ -75,3 +77,28 @@
 	}
 	return logic.News{}, fmt.Errorf("news of a release that makes no sense: %+v", r)
 }
+
+// Order is what the controller wants of a host's agent: numbered goals, of which an older one arriving late is ignored.
+type Order struct {
+	Number uint64 `json:"number"`
+	Digest string `json:"digest"`
+	Build  int    `json:"build"`
+	Goal   string `json:"goal"` // stage, serve, release, take-back
+	Old    bool   `json:"old,omitempty"`
+	To     string `json:"to,omitempty"` // with take-back of a released build: what to run in its place
+	ToNum  int    `json:"toBuild,omitempty"`
+}
+
+// AgentReport is one transition of a build at a host, or a change of how its process is to be listed.
+type AgentReport struct {
+	Number  uint64 `json:"number"` // of the agent's reports, in order
+	Build   int    `json:"build"`
+	Digest  string `json:"digest"`
+	From    string `json:"from,omitempty"`
+	To      string `json:"to,omitempty"`
+	Cause   string `json:"cause,omitempty"`
+	AtMs    int64  `json:"atMs"`              // since the epoch
+	Listing string `json:"listing,omitempty"` // serving, draining, gone
+	Address string `json:"address,omitempty"`
+	UpMs    int64  `json:"upMs,omitempty"`
+}
--- a/internal/depot/fetch.go
+++ b/internal/depot/fetch.go
@@ -26,7 +26,7 @@
 	Tries   int      // of one file, over all mirrors; what brought new bytes doesn't count
 	Pause   time.Duration
 	Silence time.Duration // without a byte, after which a mirror has failed
-	Client  *http.Client
+	Client  *http.Client  `json:"-"`
 }
 
 // Fetcher brings files into a depot.
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -3,14 +3,12 @@
 package desk
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -18,6 +16,7 @@
 	"time"
 
 	"dapplefront/internal/api"
+	"dapplefront/internal/sse"
 	"dapplefront/logic"
 )
 
@@ -40,12 +39,7 @@
 	done   chan struct{}
 }
 
-const (
-	soonest = 100 * time.Millisecond // before a broken watch is taken up again, then twice as long each time
-	latest  = 3 * time.Second        // a desk that is back is heard of within this
-	silence = 20 * time.Second       // several times what a desk repeats its news in
-	largest = 64 << 10               // bytes of an event; the largest is some hundred
-)
+const largest = 64 << 10 // bytes of a reply to a vote
 
 // Open starts the watch. within is how long a vote waits for its reply.
 func Open(base, name string, within time.Duration, hear Hear) *Link {
@@ -67,83 +61,7 @@
 
 func (l *Link) watch(ctx context.Context) {
 	defer close(l.done)
-	wait, last := soonest, ""
-	for ctx.Err() == nil {
-		began := time.Now()
-		err := l.follow(ctx, &last)
-		if ctx.Err() != nil {
-			return
-		}
-		l.hear.Trouble(fmt.Errorf("the desk's watch ended: %w", err))
-		if time.Since(began) > latest {
-			wait = soonest
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait/2 + rand.N(wait)): // routers must not all come at once
-		}
-		wait = min(2*wait, latest)
-	}
-}
-
-// follow reads one watch to its end (the WHATWG's event stream format).
-func (l *Link) follow(ctx context.Context, last *string) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	ask, err := http.NewRequestWithContext(ctx, "GET", l.url+"/v1/watch?router="+url.QueryEscape(l.name), nil)
-	if err != nil {
-		return err
-	}
-	ask.Header.Set("Accept", "text/event-stream")
-	if *last != "" {
-		ask.Header.Set("Last-Event-ID", *last)
-	}
-	quiet := time.AfterFunc(silence, cancel)
-	defer quiet.Stop()
-	got, err := l.http.Do(ask)
-	if err != nil {
-		return err
-	}
-	defer got.Body.Close()
-	if got.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %s", got.Status)
-	}
-	lines := bufio.NewScanner(got.Body)
-	lines.Buffer(make([]byte, 4096), largest)
-	var event, id string
-	var data bytes.Buffer
-	for lines.Scan() {
-		quiet.Reset(silence)
-		name, value, _ := strings.Cut(lines.Text(), ":")
-		value = strings.TrimPrefix(value, " ")
-		switch {
-		case lines.Text() == "":
-			if data.Len() > 0 {
-				if err := l.tell(event, bytes.TrimSuffix(data.Bytes(), []byte("\n"))); err != nil {
-					l.hear.Trouble(err)
-				}
-			}
-			if id != "" {
-				*last = id
-			}
-			event, id = "", ""
-			data.Reset()
-		case name == "event":
-			event = value
-		case name == "id":
-			id = value
-		case name == "data":
-			if data.Len()+len(value) > largest {
-				return errors.New("an event is too large")
-			}
-			data.WriteString(value)
-			data.WriteByte('\n')
-		}
-	}
-	if err := lines.Err(); err != nil {
-		return err
-	}
-	return io.EOF
+	sse.Follow(ctx, l.http, l.url+"/v1/watch?router="+url.QueryEscape(l.name), l.tell, l.hear.Trouble)
 }
 
 func (l *Link) tell(event string, data []byte) error {
