--- a/agent/machine.go
+++ b/agent/machine.go
@@ -342,7 +342,9 @@
 		m.dismiss(s.Newer, "take-back")
 	case s.Earlier != nil && s.Earlier.Digest == o.Digest:
 		m.dismiss(s.Earlier, "take-back")
-		if o.To != "" && (s.Newer == nil || s.Newer.Digest != o.To) {
+		if s.Newer != nil && s.Newer.Digest == o.To {
+			s.Newer.Goal = Release // it is on its way here already
+		} else if o.To != "" {
 			m.dismiss(s.Newer, "take-back")
 			if s.Run(o.To) == nil {
 				s.Newer = &Run{Build: o.ToNum, Digest: o.To, Phase: Idle, Goal: Release, Old: true, Since: m.now}
--- a/cmd/dapplefront/day.go
+++ b/cmd/dapplefront/day.go
@@ -16,7 +16,7 @@
 	var kind, breach, report string
 	var seed uint64
 	var seconds int
-	var list, quiet bool
+	var list, quiet, agents bool
 	c := &cobra.Command{Use: "day [FILE]", Short: "Play a day of trouble on loopback and judge the five rules",
 		Args: cobra.MaximumNArgs(1),
 		Long: "Play a day of trouble on loopback: routers, hosts, register, desk and clients, by a script (FILE) or by chance.\n" +
@@ -43,7 +43,7 @@
 			if err != nil {
 				return err
 			}
-			p.Breach = breach
+			p.Breach, p.Agents = breach, p.Agents || agents
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 			defer stop()
 			progress := c.OutOrStdout()
@@ -77,6 +77,7 @@
 	f.Uint64Var(&seed, "seed", 1, "chance")
 	f.IntVar(&seconds, "seconds", 30, "how long the day is")
 	f.BoolVar(&list, "list", false, "name the kinds")
+	f.BoolVar(&agents, "agents", false, "run the hosts as processes under build agents")
 	f.BoolVar(&quiet, "quiet", false, "no line a second")
 	f.StringVar(&report, "report", "", "also write the report to this file, as JSON")
 	f.StringVar(&breach, "breach", "", "build the routers wrong on purpose: answer, effect, drain, cold or exposure")
--- a/cmd/dapplefront/main.go
+++ b/cmd/dapplefront/main.go
@@ -10,6 +10,8 @@
 
 	"github.com/lmittmann/tint"
 	"github.com/spf13/cobra"
+
+	"dapplefront/internal/stand"
 )
 
 // version is set when a release is built.
@@ -21,6 +23,7 @@
 func (e exit) Error() string { return fmt.Sprintf("exit %d", int(e)) }
 
 func main() {
+	stand.HostProcess() // does not return in a host of a day with agents
 	err := command().Execute()
 	var code exit
 	switch {
@@ -40,7 +43,7 @@
 	root.PersistentFlags().StringVar(&form, "log-form", "text", "text or json")
 	log := func(without string) (*slog.Logger, error) { return logger(level, without, form) }
 	root.AddCommand(routerCommand(log), dayCommand(log), checkCommand(), hostCommand(log), registerCommand(log),
-		deskCommand(log), loadCommand(),
+		deskCommand(log), loadCommand(), agentCommand(log), buildCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "dapplefront", version) }})
 	return root
--- a/cmd/dapplefront/router.go
+++ b/cmd/dapplefront/router.go
@@ -44,13 +44,16 @@
 }
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{Use: "check FILE", Short: "Check a file of settings or a day's script, and tell every mistake",
+	return &cobra.Command{Use: "check FILE", Short: "Check a file of settings of a router or an agent, or a script, and tell every mistake",
 		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			s := sheet.Read(args[0])
-			if s.Part("day").Has() {
+			switch {
+			case s.Part("day").Has():
 				day.From(s)
-			} else {
+			case s.Part("agent").Has():
+				readPost(s)
+			default:
 				charter.From(s)
 			}
 			if err := s.Done(); err != nil {
--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -41,6 +41,7 @@
 	Rules      agent.Rules
 	Cold       time.Duration // how long a host that has started is cold
 	Drain      time.Duration // after which a host listed as draining surely gets nothing new
+	Env        []string      // for its builds, beside its own
 	Wrote      func(n int)   `json:"-"` // for tests: called after each state is on disk
 }
 
@@ -98,7 +99,7 @@
 		dir = p.Dir
 	}
 	a := &Agent{post: p, log: log.With("agent", p.Name), depot: d, journal: j, fetcher: d.NewFetcher(p.Source),
-		runner: proc.Runner{Owner: dir, Dir: filepath.Join(dir, "output"), Log: p.Log}, wake: make(chan struct{}, 1),
+		runner: proc.Runner{Owner: dir, Dir: filepath.Join(dir, "output"), Log: p.Log, Env: p.Env}, wake: make(chan struct{}, 1),
 		sent: make(chan struct{}, 1), cancels: map[string]context.CancelFunc{}, http: &http.Client{},
 		number: was.Number, outbox: was.Reports}
 	a.ctx, a.stop = context.WithCancel(context.Background())
--- a/internal/audit/book.go
+++ b/internal/audit/book.go
@@ -206,3 +206,19 @@
 
 // RouterUp is told before the router starts.
 func (b *Book) RouterUp(router string) { b.note(event{kind: routerUp, router: router}) }
+
+// Remote is what a host in another process saw, with its clock.
+type Remote struct {
+	Kind                   string // arrived, unseen or ran
+	At                     time.Time
+	Task, Router, Category string
+	Work                   float64
+}
+
+// Seen notes what a host in another process saw.
+func (b *Book) Seen(h *Host, r Remote) {
+	k, ok := map[string]kind{"arrived": arrived, "unseen": unseen, "ran": ran}[r.Kind]
+	if ok {
+		b.note(event{at: max(1, r.At.Sub(b.start)), kind: k, host: h, router: r.Router, task: r.Task, category: r.Category, work: r.Work})
+	}
+}
--- /dev/null
+++ b/internal/day/agents.go
@@ -0,0 +1,355 @@
+package day
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	mathrand "math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"aead.dev/minisign"
+
+	"dapplefront/agent"
+	"dapplefront/build"
+	"dapplefront/internal/agentd"
+	"dapplefront/internal/api"
+	"dapplefront/internal/depot"
+	"dapplefront/internal/stand"
+	"dapplefront/logic"
+	"dapplefront/release"
+)
+
+// crew is all hosts under agents: builds are packed, signed and put on a mirror; each place's agent fetches, checks,
+// starts and takes them back by orders; the register lists what agents report.
+type crew struct {
+	stage      *stage
+	log        *slog.Logger
+	controller *stand.Controller
+	mirror     *stand.Mirror
+	nest       *stand.Nest
+	keys       []minisign.PrivateKey
+	places     []stand.Machine
+	agents     []*agentd.Agent
+	names      []string
+	listings   chan listing
+
+	mu      sync.Mutex
+	digests map[int]string // by build
+	numbers map[string]int // by digest
+	ids     map[string]uint32
+	hosts   map[uint32]*stand.Host
+	has     []map[int]bool // by place, the builds that were ordered there
+}
+
+// listing is what the register is to show, and when.
+type listing struct {
+	due   time.Time
+	entry stand.Entry
+}
+
+const patient = 30 * time.Second // for an agent to carry out an order; it reports failures much sooner
+
+func newCrew(s *stage) (*crew, error) {
+	c := &crew{stage: s, log: s.log, digests: map[int]string{}, numbers: map[string]int{}, ids: map[string]uint32{},
+		hosts: map[uint32]*stand.Host{}, listings: make(chan listing, 4096),
+		places: places(s.plan, s.figures, mathrand.New(mathrand.NewPCG(s.plan.Seed, 3)))}
+	var err error
+	if c.controller, err = stand.StartController("127.0.0.1:0"); err != nil {
+		return c, err
+	}
+	c.controller.Heard = c.heard
+	if c.mirror, err = stand.StartMirror(); err != nil {
+		return c, err
+	}
+	if c.nest, err = stand.StartNest(s.book, &stand.Marks{}, s.desk.Count, c.id); err != nil {
+		return c, err
+	}
+	s.desk.SetFleet(c)
+	go c.show()
+	ring := &build.Ring{Format: 1, Version: 1, Threshold: 2, Group: "day"}
+	for _, name := range []string{"ada", "ben", "cyd"} {
+		public, private, err := minisign.GenerateKey(rand.Reader)
+		if err != nil {
+			return c, err
+		}
+		text, err := public.MarshalText()
+		if err != nil {
+			return c, err
+		}
+		c.keys = append(c.keys, private)
+		ring.Keys = append(ring.Keys, build.Key{Name: name, Public: string(text), From: time.Now().Add(-time.Hour),
+			To: time.Now().Add(24 * time.Hour)})
+	}
+	if err := c.pack(stand.Build{Number: 1}, "good"); err != nil {
+		return c, err
+	}
+	for i, m := range c.places {
+		place, err := json.Marshal(m)
+		if err != nil {
+			return c, err
+		}
+		name := fmt.Sprintf("h%d", i+1)
+		a, err := agentd.Start(agentd.Post{Name: name, Dir: filepath.Join(s.dir, name), Controller: c.controller.URL(),
+			Source: depot.Source{Mirrors: []string{c.mirror.URL()}, Tries: 3, Pause: 50 * time.Millisecond, Silence: 2 * time.Second},
+			Disk:   64 << 20, Log: 64 << 10, Ring: ring, Cold: s.figures.cold, Drain: s.figures.drains,
+			Env:   []string{stand.PlaceVariable + "=" + string(place)},
+			Rules: agent.Rules{Crashes: 3, Pause: 200 * time.Millisecond, Longest: 2 * time.Second, Steady: 10 * time.Second}}, c.log)
+		if err != nil {
+			return c, err
+		}
+		c.agents, c.names, c.has = append(c.agents, a), append(c.names, name), append(c.has, map[int]bool{1: true})
+		c.controller.Order(name, api.Order{Digest: c.digests[1], Build: 1, Goal: "release"})
+	}
+	for _, name := range c.names { // the day begins with warm hosts
+		if !c.controller.Await(name, c.digests[1], string(agent.Serving), patient) {
+			return c, fmt.Errorf("agent %s does not come up: %+v", name, c.controller.Reports(name))
+		}
+	}
+	return c, nil
+}
+
+// pack makes a stand-in build, signs it as its kind allows, and puts it on the mirror.
+func (c *crew) pack(b stand.Build, kind string) error {
+	folder, err := os.MkdirTemp(c.stage.dir, "build-")
+	if err != nil {
+		return err
+	}
+	if err := stand.PackFolder(folder, b, kindsOf(), c.nest.Address()); err != nil {
+		return err
+	}
+	m := &build.Manifest{Format: 1, Name: "stand-in", Group: "day", Version: b.Number, Start: []string{"run.sh"}}
+	m.Ready.Path, m.Ready.Within, m.Drain.Within = "/ready", build.Span(10*time.Second), build.Span(2*time.Second)
+	out := filepath.Join(c.stage.dir, "mirror")
+	digest, err := depot.Pack(folder, out, m)
+	if err != nil {
+		return err
+	}
+	raw, err := os.ReadFile(filepath.Join(out, "manifest", digest))
+	if err != nil {
+		return err
+	}
+	signatures := [][]byte{minisign.Sign(c.keys[0], raw), minisign.Sign(c.keys[1], raw)}
+	if kind == "bad-signed" {
+		signatures = signatures[:1]
+	}
+	c.mirror.Put("/manifest/"+digest, raw)
+	c.mirror.PutSignatures(digest, signatures...)
+	for _, f := range m.Files {
+		body, err := os.ReadFile(filepath.Join(out, "sha256", f.SHA256))
+		if err != nil {
+			return err
+		}
+		if kind == "bad-bytes" {
+			body[len(body)/2] ^= 1
+		}
+		c.mirror.Put("/sha256/"+f.SHA256, body)
+	}
+	c.mu.Lock()
+	c.digests[b.Number], c.numbers[digest] = digest, b.Number
+	c.mu.Unlock()
+	return nil
+}
+
+// id is the number of the host at an address.
+func (c *crew) id(address string) uint32 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ids[address] == 0 {
+		c.ids[address] = uint32(len(c.ids) + 1)
+	}
+	return c.ids[address]
+}
+
+// heard takes in an agent's report: what is to be listed, and builds that it refuses.
+func (c *crew) heard(name string, r api.AgentReport) {
+	if r.Listing != "" && r.Address != "" {
+		id := c.id(r.Address)
+		c.mu.Lock()
+		h := c.hosts[id]
+		if h == nil {
+			m := c.place(name)
+			m.ID = id
+			h = stand.Elsewhere(r.Address, m, c.numbers[r.Digest])
+			h.Up = time.UnixMilli(r.UpMs)
+			c.hosts[id] = h
+		}
+		c.mu.Unlock()
+		standing := map[string]logic.Standing{string(agent.Drains): logic.Draining, string(agent.Unlisted): logic.Gone}[r.Listing]
+		c.listings <- listing{time.Now().Add(c.stage.figures.listLate), stand.Entry{Host: h, Standing: standing}}
+	}
+	if r.To == string(agent.Failed) {
+		c.mu.Lock()
+		n := c.numbers[r.Digest]
+		c.mu.Unlock()
+		c.log.Info("a build is refused", "agent", name, "build", n, "cause", r.Cause)
+		if n > 1 {
+			c.stage.desk.Hear(release.Withdraw{Build: n})
+		}
+	}
+}
+
+func (c *crew) place(name string) stand.Machine {
+	for i, n := range c.names {
+		if n == name {
+			return c.places[i]
+		}
+	}
+	return c.places[len(c.names)%len(c.places)] // it reports before its start has returned
+}
+
+// show lets the register follow, as late as it does.
+func (c *crew) show() {
+	for l := range c.listings {
+		time.Sleep(time.Until(l.due))
+		c.stage.register.Set(l.entry)
+	}
+}
+
+// Place sees that a share of the places runs a build (stand.Fleet). All fetch and check it first; starts are paced by
+// location: a third of its places at once, the next when these are ready.
+func (c *crew) Place(number int, share float64) {
+	want := max(1, int(math.Ceil(share*float64(len(c.places))-1e-9)))
+	c.mu.Lock()
+	digest := c.digests[number]
+	var chosen []int
+	have := 0
+	for _, h := range c.has {
+		if h[number] {
+			have++
+		}
+	}
+	for i := 0; i < len(c.places) && have < want; i++ {
+		place := (i*7 + number) % len(c.places)
+		if len(c.places)%7 == 0 {
+			place = i
+		}
+		if !c.has[place][number] {
+			c.has[place][number] = true
+			chosen = append(chosen, place)
+			have++
+		}
+	}
+	c.mu.Unlock()
+	order := func(place int, goal string, phases ...agent.Phase) bool {
+		name := c.names[place]
+		mark := c.controller.Mark(name)
+		c.controller.Order(name, api.Order{Digest: digest, Build: number, Goal: goal})
+		words := []string{string(agent.Failed), string(agent.TakenBack)}
+		for _, p := range phases {
+			words = append(words, string(p))
+		}
+		got := c.controller.AwaitAfter(name, mark, digest, patient, words...)
+		return got != "" && got != string(agent.Failed) && got != string(agent.TakenBack)
+	}
+	all := true
+	var mu sync.Mutex
+	each := func(places []int, do func(int) bool) {
+		var wait sync.WaitGroup
+		for _, place := range places {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				if !do(place) {
+					mu.Lock()
+					all = false
+					mu.Unlock()
+				}
+			}()
+		}
+		wait.Wait()
+	}
+	each(chosen, func(place int) bool { return order(place, "stage", agent.Staged) })
+	byLocation := map[string][]int{}
+	for _, place := range chosen {
+		l := c.places[place].Location
+		byLocation[l] = append(byLocation[l], place)
+	}
+	var wait sync.WaitGroup
+	for _, places := range byLocation {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			atOnce := max(1, len(c.places)/len(byLocation)/3)
+			for from := 0; from < len(places) && all; from += atOnce {
+				each(places[from:min(len(places), from+atOnce)], func(place int) bool { return order(place, "serve", agent.Warming) })
+			}
+		}()
+	}
+	wait.Wait()
+	if all {
+		time.Sleep(c.stage.figures.listLate)
+		c.stage.desk.Hear(release.Ready{Build: number})
+	}
+}
+
+// Retire takes a build off all places (stand.Fleet): the earlier one by releasing the newer in its place, a newer one
+// by taking it back.
+func (c *crew) Retire(number int) {
+	n := c.stage.desk.News()
+	earlier := c.stage.desk.Earlier()
+	c.mu.Lock()
+	digest, o := c.digests[number], api.Order{Digest: c.digests[n.Build], Build: n.Build, Goal: "release"}
+	if n.Build == number {
+		o = api.Order{Digest: digest, Build: number, Goal: "take-back", To: c.digests[earlier], ToNum: earlier}
+	} else if n.Phase != logic.Released { // overtaken on trial
+		o = api.Order{Digest: digest, Build: number, Goal: "take-back"}
+	}
+	var at []int
+	for place, h := range c.has {
+		if h[number] {
+			at = append(at, place)
+			delete(h, number)
+		}
+	}
+	c.mu.Unlock()
+	var wait sync.WaitGroup
+	for _, place := range at {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			name := c.names[place]
+			mark := c.controller.Mark(name)
+			c.controller.Order(name, o)
+			c.controller.AwaitAfter(name, mark, digest, patient, string(agent.TakenBack))
+		}()
+	}
+	wait.Wait()
+	c.stage.desk.Hear(release.Gone{Build: number})
+}
+
+// die kills the processes of some hosts; their agents start them again, cold.
+func (c *crew) die(share float64) {
+	for i, a := range c.agents {
+		if float64(i) >= math.Max(1, math.Round(share*float64(len(c.agents)))) {
+			return
+		}
+		s := a.State()
+		if r := s.Earlier; r != nil && r.Process.Pid > 0 {
+			_ = syscall.Kill(-r.Process.Pid, syscall.SIGKILL)
+		}
+	}
+}
+
+func (c *crew) close() {
+	var wait sync.WaitGroup
+	for _, a := range c.agents {
+		wait.Add(1)
+		go func() { defer wait.Done(); a.Stop() }()
+	}
+	wait.Wait()
+	if c.nest != nil {
+		c.nest.Stop()
+	}
+	if c.mirror != nil {
+		c.mirror.Stop()
+	}
+	if c.controller != nil {
+		c.controller.Stop()
+	}
+}
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -99,7 +99,8 @@
 	book     *audit.Book
 	register *stand.Register
 	desk     *stand.Desk
-	fleet    *fleet
+	fleet    *fleet // hosts inside this process, or
+	crew     *crew  // hosts under agents
 	clients  *stand.Clients
 	routers  []*seat
 	rand     *rand.Rand
@@ -120,6 +121,9 @@
 
 // Play plays a day. It writes a line a second to progress, which may be nil.
 func Play(ctx context.Context, p Plan, log *slog.Logger, progress io.Writer) (*Result, error) {
+	if err := p.possible(); err != nil {
+		return nil, err
+	}
 	f := standard(p)
 	dir, err := os.MkdirTemp("", "dapplefront-day-")
 	if err != nil {
@@ -186,22 +190,14 @@
 			ToMoveOn: max(1, p.Routers/2), ToAbort: 1}}, s.book); err != nil {
 		return err
 	}
-	world := stand.World{Book: s.book, Kinds: map[string]stand.Kind{}, Marks: &stand.Marks{}}
-	for _, w := range wishes {
-		world.Kinds[w.Name] = w.Kind
+	if p.Agents {
+		s.crew, err = newCrew(s)
+	} else {
+		err = s.people()
 	}
-	s.fleet = newFleet(p, f, world, s.register)
-	s.fleet.desk = s.desk
-	s.desk.SetFleet(s.fleet)
-	var all []*member
-	for place := range s.fleet.places {
-		h, err := s.fleet.start(place, 1, false)
-		if err != nil {
-			return err
-		}
-		all = append(all, h)
+	if err != nil {
+		return err
 	}
-	s.fleet.list(logic.Serving, all...)
 	var doors []stand.Door
 	for i := range p.Routers {
 		x, err := s.seat(i)
@@ -220,6 +216,32 @@
 	return nil
 }
 
+// people starts all hosts inside this process.
+func (s *stage) people() error {
+	world := stand.World{Book: s.book, Kinds: kindsOf(), Marks: &stand.Marks{}}
+	s.fleet = newFleet(s.plan, s.figures, world, s.register)
+	s.fleet.desk = s.desk
+	s.desk.SetFleet(s.fleet)
+	var all []*member
+	for place := range s.fleet.places {
+		h, err := s.fleet.start(place, 1, false)
+		if err != nil {
+			return err
+		}
+		all = append(all, h)
+	}
+	s.fleet.list(logic.Serving, all...)
+	return nil
+}
+
+func kindsOf() map[string]stand.Kind {
+	kinds := map[string]stand.Kind{}
+	for _, w := range wishes {
+		kinds[w.Name] = w.Kind
+	}
+	return kinds
+}
+
 // seat writes the charter of a router: the same file that an operator would write.
 func (s *stage) seat(i int) (*seat, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a free port, which restarts keep
@@ -304,7 +326,9 @@
 			return
 		case <-t.C:
 		}
-		s.fleet.forgetTraffic()
+		if s.fleet != nil {
+			s.fleet.forgetTraffic()
+		}
 		score, open := s.clients.Second()
 		if progress == nil {
 			continue
@@ -330,6 +354,9 @@
 	if s.fleet != nil {
 		s.fleet.close()
 	}
+	if s.crew != nil {
+		s.crew.close()
+	}
 	if s.desk != nil {
 		s.desk.Stop()
 	}
--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -42,16 +42,22 @@
 func newFleet(p Plan, f figures, w stand.World, register *stand.Register) *fleet {
 	fl := &fleet{register: register, figures: f, builds: map[int]stand.Build{1: {Number: 1}},
 		rand: rand.New(rand.NewPCG(p.Seed, 3))}
-	for i := range p.Hosts {
-		fl.places = append(fl.places, stand.Machine{Location: f.locations[i%len(f.locations)], Cell: i % len(f.locations),
-			Cores: 2, Speed: 0.85 + 0.3*fl.rand.Float64(), ColdShare: f.coldShare, Cold: f.cold, Tip: f.tip, TipFor: f.tipFor})
-	}
+	fl.places = places(p, f, fl.rand)
 	w.Slows = fl.slows
 	w.Count = fl.count
 	fl.world = w
 	return fl
 }
 
+// places are the machines that a day's hosts run on, without their ids.
+func places(p Plan, f figures, r *rand.Rand) (all []stand.Machine) {
+	for i := range p.Hosts {
+		all = append(all, stand.Machine{Location: f.locations[i%len(f.locations)], Cell: i % len(f.locations), Cores: 2,
+			Speed: 0.85 + 0.3*r.Float64(), ColdShare: f.coldShare, Cold: f.cold, Tip: f.tip, TipFor: f.tipFor})
+	}
+	return all
+}
+
 // count passes what hosts answered to the desk, and notes how much of it a build that slows all got.
 func (f *fleet) count(build int, category string, took time.Duration, bad bool) {
 	f.sends.Add(1)
--- a/internal/day/plan.go
+++ b/internal/day/plan.go
@@ -38,6 +38,7 @@
 	Rate      float64 // tasks a second for each router
 	Offers    []Offer
 	Troubles  []Trouble
+	Agents    bool   // hosts are processes that build agents fetch, check, start and take back
 	Breach    string // answer, effect, drain, cold or exposure: routers built wrong on purpose
 }
 
@@ -45,6 +46,7 @@
 type kind struct {
 	name, text string
 	build      bool // a bad build rather than a trouble of its own
+	agents     bool // only with agents
 	share      [2]float64
 	size       [2]float64
 	lasts      [2]float64 // of the day's length
@@ -58,6 +60,8 @@
 	{name: "bad-late", text: "a build turns slow and fails some seconds after its host's start", build: true},
 	{name: "bad-wrong", text: "a build gives wrong answers", build: true},
 	{name: "bad-slows-all", text: "a build slows all hosts in step with the traffic that it gets", build: true},
+	{name: "bad-bytes", text: "a mirror serves a build with wrong bytes (with agents)", build: true, agents: true},
+	{name: "bad-signed", text: "a build lacks a signature (with agents)", build: true, agents: true},
 	{name: "die", text: "hosts die at once and come back cold", share: [2]float64{.08, .2}, lasts: [2]float64{.2, .4}},
 	{name: "hang", text: "hosts take tasks and answer none", share: [2]float64{.05, .18}, lasts: [2]float64{.2, .4}},
 	{name: "fail-fast", text: "hosts quickly fail most tasks", share: [2]float64{.05, .18}, size: [2]float64{.4, .8}, lasts: [2]float64{.2, .5}},
@@ -103,7 +107,9 @@
 	if name == "mixed" {
 		var bads, troubles []string
 		for _, k := range kinds[1:] {
-			if k.build {
+			if k.agents {
+				continue
+			} else if k.build {
 				bads = append(bads, k.name)
 			} else {
 				troubles = append(troubles, k.name)
@@ -150,7 +156,7 @@
 	d := s.Part("day")
 	p := Plan{Name: d.Text("name", "day"), Seed: d.Seed("seed", "1"), Length: d.Span("length", "!"),
 		Locations: d.Whole("locations", "3", 1, 50), Routers: d.Whole("routers", "4", 1, 50),
-		Hosts: d.Whole("hosts", "24", 1, 400), Rate: d.Number("rate", "150", 0.1, 100_000)}
+		Hosts: d.Whole("hosts", "24", 1, 400), Agents: d.Switch("agents", "off"), Rate: d.Number("rate", "150", 0.1, 100_000)}
 	if p.Hosts < p.Locations || p.Routers < p.Locations {
 		d.Wrong("hosts", "each location needs a host and a router: at least %d of each expected", p.Locations)
 	}
@@ -175,5 +181,33 @@
 		p.Troubles = append(p.Troubles, Trouble{Kind: t.OneOf("kind", "!", troubles...), At: t.Span("at", "!"),
 			For: t.Span("for", "!"), Share: t.Share("share", "25%"), Size: t.Number("size", "2", 0, 1000)})
 	}
+	if err := p.possible(); err != nil {
+		d.Wrong("agents", "%v", err)
+	}
 	return p
 }
+
+// withAgents are the troubles that can befall hosts which are processes under agents.
+var withAgents = []string{"die", "burst", "repeats", "bad-requests", "list-down", "desk-still", "desk-late", "restarts", "stand-still"}
+
+// possible tells what can't be played: stand-in hosts have faults of their own only inside the day's process.
+func (p Plan) possible() error {
+	for _, o := range p.Offers {
+		k, err := find(o.Kind)
+		if err != nil {
+			return err
+		}
+		if k.agents && !p.Agents {
+			return fmt.Errorf("builds of the kind %s need agents", o.Kind)
+		}
+		if p.Agents && o.Kind == "bad-slows-all" {
+			return fmt.Errorf("builds of the kind %s can't be played with agents", o.Kind)
+		}
+	}
+	for _, t := range p.Troubles {
+		if p.Agents && !slices.Contains(withAgents, t.Kind) {
+			return fmt.Errorf("the trouble %s can't be played with agents; %s can", t.Kind, strings.Join(withAgents, ", "))
+		}
+	}
+	return nil
+}
--- a/internal/day/troubles.go
+++ b/internal/day/troubles.go
@@ -28,9 +28,16 @@
 			case "bad-slows-all":
 				b.SlowsAll = 2
 			}
-			s.fleet.mu.Lock()
-			s.fleet.builds[build] = b
-			s.fleet.mu.Unlock()
+			if s.crew != nil {
+				if err := s.crew.pack(b, o.Kind); err != nil {
+					s.log.Error("a build is not packed", "error", err)
+					return
+				}
+			} else {
+				s.fleet.mu.Lock()
+				s.fleet.builds[build] = b
+				s.fleet.mu.Unlock()
+			}
 			s.desk.Hear(release.Offer{Build: build})
 		})
 	}
@@ -75,6 +82,10 @@
 	}
 	switch t.Kind {
 	case "die":
+		if s.crew != nil {
+			s.crew.die(t.Share)
+			return
+		}
 		s.fleet.die(s.fleet.some(t.Share), t.For)
 	case "hang":
 		hosts(func(x *stand.Trouble) { x.Hangs = true }, func(x *stand.Trouble) { x.Hangs = false })
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -31,7 +31,8 @@
 type Runner struct {
 	Owner string // tells this agent's processes from others'
 	Dir   string // for output and ready files
-	Log   int64  // bytes of output kept of each build; twice that at the most
+	Env   []string
+	Log   int64 // bytes of output kept of each build; twice that at the most
 }
 
 func (r Runner) mark(digest string) string { return r.Owner + "/" + digest }
@@ -54,7 +55,7 @@
 	c := exec.Command(filepath.Join(dir, filepath.FromSlash(words[0])), words[1:]...)
 	c.Dir = dir
 	c.Stdout, c.Stderr = out, out
-	c.Env = append(os.Environ(), Mark+"="+r.mark(digest), Port+"="+strconv.Itoa(port), Ready+"="+r.ReadyFile(digest))
+	c.Env = append(append(os.Environ(), r.Env...), Mark+"="+r.mark(digest), Port+"="+strconv.Itoa(port), Ready+"="+r.ReadyFile(digest))
 	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := c.Start(); err != nil {
 		return agent.Process{}, nil, err
--- a/internal/stand/controller.go
+++ b/internal/stand/controller.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -85,22 +86,33 @@
 	return append([]api.AgentReport(nil), c.reports[agent]...)
 }
 
-// Await waits until an agent has reported a build in a phase since it began to wait, or for too long.
+// Await waits until an agent has reported a build in a phase, or for too long.
 func (c *Controller) Await(agent, digest, phase string, within time.Duration) bool {
+	return c.AwaitAfter(agent, 0, digest, within, phase) != ""
+}
+
+// Mark is how many reports an agent has made, for AwaitAfter.
+func (c *Controller) Mark(agent string) int { return len(c.Reports(agent)) }
+
+// AwaitAfter waits until an agent has reported a build in one of some phases, after its first reports up to a mark, and
+// returns that phase; empty if that takes too long.
+func (c *Controller) AwaitAfter(agent string, mark int, digest string, within time.Duration, phases ...string) string {
 	for end := time.Now().Add(within); ; {
 		c.mu.Lock()
-		changed, found := c.changed, false
-		for _, r := range c.reports[agent] {
-			found = found || r.Digest == digest && r.To == phase
-		}
+		changed := c.changed
+		all := c.reports[agent]
 		c.mu.Unlock()
-		if found {
-			return true
+		for _, r := range all[min(mark, len(all)):] {
+			if r.Digest == digest && slices.Contains(phases, r.To) {
+				return r.To
+			}
 		}
 		select {
 		case <-changed:
+		case <-c.stop:
+			return ""
 		case <-time.After(time.Until(end)):
-			return false
+			return ""
 		}
 	}
 }
--- a/internal/stand/desk.go
+++ b/internal/stand/desk.go
@@ -152,6 +152,9 @@
 // News is where the newest release stands.
 func (d *Desk) News() release.News { d.mu.Lock(); defer d.mu.Unlock(); return d.machine.News() }
 
+// Earlier is the build that serves beside or before the newest one.
+func (d *Desk) Earlier() int { d.mu.Lock(); defer d.mu.Unlock(); return d.machine.Earlier() }
+
 // Hear hands an input to the release and carries out its effects. It returns the answer to a vote.
 func (d *Desk) Hear(in release.Input) (answer release.Answer) {
 	d.mu.Lock()
--- a/internal/stand/host.go
+++ b/internal/stand/host.go
@@ -63,8 +63,8 @@
 	seen map[string]time.Time
 }
 
-// first tells whether a mark is new within the memory, and remembers it.
-func (m *Marks) first(mark string, memory time.Duration) bool {
+// First tells whether a mark is new within the memory, and remembers it.
+func (m *Marks) First(mark string, memory time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
@@ -98,9 +98,9 @@
 	Up    time.Time // zero for long ago
 	Seen  *audit.Host
 
-	book   *audit.Book
+	book   Witness
 	kinds  map[string]Kind
-	marks  *Marks
+	marks  Memory
 	count  func(build int, category string, took time.Duration, bad bool)
 	slows  func() float64 // how many times slower all hosts are now
 	server *http.Server
@@ -130,13 +130,26 @@
 	*orcav3.OrcaLoadReport
 }
 
+// Witness is told what a host sees; an audit.Book is one.
+type Witness interface {
+	Arrived(h *audit.Host, router, task, category string, work float64)
+	Unseen(h *audit.Host, task string)
+	Ran(h *audit.Host, task string)
+}
+
+// Memory remembers marks for the hosts of a group.
+type Memory interface {
+	First(mark string, memory time.Duration) bool // whether a mark is new within the memory
+}
+
 // World is what hosts share.
 type World struct {
-	Book  *audit.Book
-	Kinds map[string]Kind
-	Marks *Marks
-	Count func(build int, category string, took time.Duration, bad bool) // nil for none
-	Slows func() float64                                                 // nil for never
+	Listen string // where; empty for any port
+	Book   Witness
+	Kinds  map[string]Kind
+	Marks  Memory
+	Count  func(build int, category string, took time.Duration, bad bool) // nil for none
+	Slows  func() float64                                                 // nil for never
 }
 
 // StartHost starts a process on a machine; cold tells that it just starts rather than runs since long ago.
@@ -147,13 +160,16 @@
 		h.Up = h.begun
 	}
 	var err error
-	if h.listen, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	if w.Listen == "" {
+		w.Listen = "127.0.0.1:0"
+	}
+	if h.listen, err = net.Listen("tcp", w.Listen); err != nil {
 		return nil, fmt.Errorf("host %d: %w", m.ID, err)
 	}
 	h.addr = h.listen.Addr().String()
 	h.Seen = &audit.Host{ID: m.ID, Build: b.Number, Location: m.Location, Cell: m.Cell, Cold: m.Cold}
-	if cold && w.Book != nil {
-		h.Seen.Up = w.Book.At(h.Up)
+	if book, ok := w.Book.(*audit.Book); ok && cold {
+		h.Seen.Up = book.At(h.Up)
 		h.Seen.Capacity = func(at time.Duration) float64 { return h.capacity(at - h.Seen.Up) }
 	}
 	h.server = &http.Server{Handler: h, ErrorLog: log.New(io.Discard, "", 0)}
@@ -354,7 +370,7 @@
 		h.reply(w, r, kind, began, 500, "failed")
 		return
 	}
-	if kind.Repeat != logic.Fingerprinted || h.marks.first(r.Header.Get("Idempotency-Key"), kind.Memory) {
+	if kind.Repeat != logic.Fingerprinted || h.marks.First(r.Header.Get("Idempotency-Key"), kind.Memory) {
 		if h.book != nil {
 			h.book.Ran(h.Seen, task)
 		}
