--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -42,7 +42,10 @@
 	Cold       time.Duration // how long a host that has started is cold
 	Drain      time.Duration // after which a host listed as draining surely gets nothing new
 	Env        []string      // for its builds, beside its own
-	Wrote      func(n int)   `json:"-"` // for tests: called after each state is on disk
+	// For tests: called after each state is on disk; makes a write fail; finds a free port.
+	Wrote  func(n int)         `json:"-"`
+	Refuse func(n int) error   `json:"-"`
+	Ports  func() (int, error) `json:"-"`
 }
 
 // Agent is one running agent.
@@ -67,6 +70,7 @@
 	outbox  []api.AgentReport
 	sent    chan struct{}
 	number  uint64
+	ring    *build.Ring // the present one
 }
 
 // Start starts an agent where the last one in its folder left off.
@@ -80,7 +84,10 @@
 		_ = d.Close()
 		return nil, err
 	}
-	j.Wrote = p.Wrote
+	j.Wrote, j.Refuse = p.Wrote, p.Refuse
+	if p.Ports == nil {
+		p.Ports = freePort
+	}
 	was, err := j.Load()
 	if err == nil {
 		for _, sub := range []string{"manifests", "output"} {
@@ -102,6 +109,7 @@
 		runner: proc.Runner{Owner: dir, Dir: filepath.Join(dir, "output"), Log: p.Log, Env: p.Env}, wake: make(chan struct{}, 1),
 		sent: make(chan struct{}, 1), cancels: map[string]context.CancelFunc{}, http: &http.Client{},
 		number: was.Number, outbox: was.Reports}
+	a.ring = a.lastRing()
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	var effects []agent.Effect
 	a.machine, effects = agent.Resume(time.Now(), p.Rules, was.State, a.alive)
@@ -380,6 +388,7 @@
 
 // fetch brings the manifest and its signatures, and the files only of a build that is signed.
 func (a *Agent) fetch(ctx context.Context, e agent.Fetch) {
+	a.nextRings(ctx)
 	err := a.manifest(ctx, e.Digest)
 	var m *build.Manifest
 	if err == nil {
@@ -492,10 +501,72 @@
 	for i, s := range signatures {
 		all[i] = []byte(s)
 	}
-	m, _, err := a.post.Ring.Verify(raw, all, time.Now(), old)
+	a.mu.Lock()
+	ring := a.ring
+	a.mu.Unlock()
+	m, _, err := ring.Verify(raw, all, time.Now(), old)
 	return m, err
 }
 
+// lastRing is the ring that was told at start, or a later one that took its place.
+func (a *Agent) lastRing() *build.Ring {
+	raw, err := os.ReadFile(filepath.Join(a.post.Dir, "ring.json"))
+	if err == nil {
+		r, err := build.ReadRing(raw)
+		if err == nil && r.Version > a.post.Ring.Version && r.Group == a.post.Ring.Group {
+			return r
+		}
+	}
+	return a.post.Ring
+}
+
+// nextRings looks for later rings, one version after the other, each signed by the keys of the one before. A mirror that
+// has none, or a wrong one, changes nothing.
+func (a *Agent) nextRings(ctx context.Context) {
+	for range 100 {
+		a.mu.Lock()
+		ring := a.ring
+		a.mu.Unlock()
+		found := false
+		for _, mirror := range a.post.Source.Mirrors {
+			path := "/ring/" + strconv.Itoa(ring.Version+1)
+			raw, err := a.get(ctx, mirror, path)
+			if err != nil {
+				continue
+			}
+			var texts []string
+			sigs, err := a.get(ctx, mirror, path+".sigs")
+			if err == nil {
+				err = json.Unmarshal(sigs, &texts)
+			}
+			var all [][]byte
+			for _, s := range texts {
+				all = append(all, []byte(s))
+			}
+			var next *build.Ring
+			if err == nil {
+				next, err = ring.Next(raw, all, time.Now())
+			}
+			if err == nil {
+				err = writeWhole(filepath.Join(a.post.Dir, "ring.json"), raw)
+			}
+			if err != nil {
+				a.log.Warn("a ring is not taken", "version", ring.Version+1, "error", err)
+				continue
+			}
+			a.log.Info("a new ring", "version", next.Version, "keys", len(next.Keys), "floor", next.Floor)
+			a.mu.Lock()
+			a.ring = next
+			a.mu.Unlock()
+			found = true
+			break
+		}
+		if !found {
+			return
+		}
+	}
+}
+
 // check reads everything again, signatures and files, and lays the build out.
 func (a *Agent) check(ctx context.Context, e agent.Check) {
 	m, err := a.verified(e.Digest, e.Old)
@@ -534,7 +605,7 @@
 	}
 	var port int
 	if err == nil {
-		port, err = freePort()
+		port, err = a.post.Ports()
 	}
 	if err != nil {
 		a.done(ctx, agent.Trouble{Digest: digest, Reason: err.Error()})
--- a/internal/agentd/agentd_test.go
+++ b/internal/agentd/agentd_test.go
@@ -390,6 +390,140 @@
 	w.await(one, agent.Starting) // what happened meanwhile is reported
 }
 
+func TestATakeBackWhileABuildStartsOrIsFetched(t *testing.T) {
+	w := newWorld(t)
+	a := w.start()
+	defer a.Stop()
+	one := w.good(1, "well")
+	w.order(one, "release")
+	w.await(one, agent.Serving)
+	starting := w.good(2, "silent")
+	w.order(starting, "serve")
+	require.Eventually(t, func() bool { return len(w.seen("2")) == 1 }, 10*time.Second, time.Millisecond)
+	w.order(starting, "take-back")
+	w.await(starting, agent.TakenBack)
+	require.Empty(t, a.runner.Find(starting))
+	for _, m := range w.mirrors {
+		m.Fail(func(string, []byte) stand.Fault { return stand.Fault{Cut: 1, Stall: true} })
+	}
+	fetching := w.good(3, "well")
+	w.order(fetching, "serve")
+	w.await(fetching, agent.Fetching)
+	w.order(fetching, "take-back")
+	w.await(fetching, agent.TakenBack)
+	require.Empty(t, w.seen("3"))
+	require.Equal(t, "1", answers(a, one))
+}
+
+func TestAPortThatIsTakenCostsOneTry(t *testing.T) {
+	w := newWorld(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	p, n := w.post(), 0
+	p.Ports = func() (int, error) {
+		if n++; n == 1 {
+			return taken.Addr().(*net.TCPAddr).Port, nil
+		}
+		return freePort()
+	}
+	a, err := Start(p, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	defer a.Stop()
+	one := w.good(1, "well")
+	w.order(one, "release")
+	w.await(one, agent.Serving)
+	require.Len(t, w.seen("1"), 2)
+	require.Equal(t, "1", answers(a, one))
+}
+
+func TestADiskThatIsFullAtAnyWriteOfTheJournalOnlyDelays(t *testing.T) {
+	for at := range 12 {
+		w := newWorld(t)
+		p, refused := w.post(), 0
+		p.Refuse = func(n int) error {
+			if n == at+1 && refused < 2 {
+				refused++
+				return syscall.ENOSPC
+			}
+			return nil
+		}
+		a, err := Start(p, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		one, two := w.good(1, "well"), w.good(2, "well")
+		w.order(one, "release")
+		w.await(one, agent.Serving)
+		w.order(two, "release")
+		w.await(one, agent.TakenBack)
+		require.Equal(t, "2", answers(a, two))
+		require.Len(t, w.seen("1"), 1, "full at write %d", at+1)
+		require.Len(t, w.seen("2"), 1, "full at write %d", at+1)
+		a.Stop()
+	}
+}
+
+func TestAFullDiskAtAnyByteOfAFetch(t *testing.T) {
+	w := newWorld(t)
+	one := w.good(1, "well")
+	p := w.post()
+	m, files := w.make(2, "well")
+	extra := make([]byte, 300<<10)
+	files[build.Digest(extra)] = extra
+	m.Files = append(m.Files, build.File{Path: "extra", Size: int64(len(extra)), SHA256: build.Digest(extra)})
+	raw, _ := m.Bytes()
+	two := w.publish(raw, files, 0, 1)
+	needed := m.Size() + int64(len("#"))
+	for limit := needed / 3; limit < needed; limit += needed / 7 {
+		p.Disk = limit + 1<<10
+		p.Dir = t.TempDir()
+		a, err := Start(p, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		mark := w.controller.Mark("h1")
+		w.order(one, "release")
+		require.NotEmpty(t, w.controller.AwaitAfter("h1", mark, one, 10*time.Second, string(agent.Serving), string(agent.Failed)))
+		before := answers(a, one)
+		w.order(two, "release")
+		require.Equal(t, string(agent.Failed), w.controller.AwaitAfter("h1", mark, two, 10*time.Second, string(agent.Failed), string(agent.Serving)))
+		require.Equal(t, before, answers(a, one))
+		require.Empty(t, w.seen("2"))
+		a.Stop()
+	}
+}
+
+func TestKeysChangeOnRunningAgents(t *testing.T) {
+	w := newWorld(t)
+	a := w.start()
+	defer func() { a.Stop() }()
+	next := *w.ring
+	next.Version, next.Keys = 2, []build.Key{w.ring.Keys[0], w.ring.Keys[2]}
+	raw, err := json.Marshal(next)
+	require.NoError(t, err)
+	put := func(keys ...int) {
+		var texts []string
+		for _, k := range keys {
+			texts = append(texts, string(minisign.Sign(w.keys[k], raw)))
+		}
+		sigs, _ := json.Marshal(texts)
+		w.mirrors[0].Put("/ring/2", raw)
+		w.mirrors[0].Put("/ring/2.sigs", sigs)
+	}
+	put(0) // too few: the old ring stays
+	one := w.good(1, "well")
+	w.order(one, "release")
+	w.await(one, agent.Serving)
+	put(0, 1)
+	two := w.good(2, "well") // by ada and ben, who has no word any more
+	w.order(two, "release")
+	w.await(two, agent.Failed)
+	a.Close()
+	a = w.start() // which keeps the new ring
+	m, files := w.make(3, "well")
+	raw3, _ := m.Bytes()
+	three := w.publish(raw3, files, 0, 2)
+	w.order(three, "release")
+	w.await(three, agent.Serving)
+}
+
 // Over a thousand builds that are bad in some way, drawn, with good ones between: no bad one ever starts, as a witness
 // at a socket tells, and the earlier build goes on serving.
 func TestNoBadBuildEverStarts(t *testing.T) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -26,7 +26,9 @@
 	db *bbolt.DB
 	// Wrote is called after each state is on disk, with how many have been written; tests end the process there.
 	Wrote func(n int)
-	n     int
+	// Refuse may make a write fail, by how many have been written; tests let the disk be full there.
+	Refuse func(n int) error
+	n      int
 }
 
 const schema = 1
@@ -85,6 +87,9 @@
 // Save puts an entry on disk, in place of the last.
 func (j *Journal) Save(e Entry) error {
 	raw, err := json.Marshal(e)
+	if err == nil && j.Refuse != nil {
+		err = j.Refuse(j.n)
+	}
 	if err == nil {
 		err = j.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucket).Put(entryKey, raw) })
 	}
