--- a/internal/audit/book.go
+++ b/internal/audit/book.go
@@ -222,3 +222,15 @@
 		b.note(event{at: max(1, r.At.Sub(b.start)), kind: k, host: h, router: r.Router, task: r.Task, category: r.Category, work: r.Work})
 	}
 }
+
+// LastArrival is when hosts of a build were last sent a task; 0 for never.
+func (b *Book) LastArrival(build int) (at time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.events {
+		if e.kind == arrived && e.host.Build == build {
+			at = max(at, e.at)
+		}
+	}
+	return at
+}
--- a/internal/day/agents.go
+++ b/internal/day/agents.go
@@ -44,7 +44,46 @@
 	numbers map[string]int // by digest
 	ids     map[string]uint32
 	hosts   map[uint32]*stand.Host
-	has     []map[int]bool // by place, the builds that were ordered there
+	has     []map[int]bool        // by place, the builds that were ordered there
+	retired map[int]time.Duration // when a build's taking off was ordered
+}
+
+// AgentTimes is what agents' reports tell of how long things took.
+type AgentTimes struct {
+	Phases  map[string][]time.Duration // spent in each phase, over all agents and builds
+	Serving []time.Duration            // from order to ready, over all but the first build
+	Retired map[int]time.Duration      // from a build's taking off being ordered to the last task that reached it
+}
+
+// times works them out of the reports.
+func (c *crew) times() *AgentTimes {
+	t := &AgentTimes{Phases: map[string][]time.Duration{}, Retired: map[int]time.Duration{}}
+	for _, name := range c.names {
+		since, ordered := map[string]int64{}, map[string]int64{}
+		for _, r := range c.controller.Reports(name) {
+			if r.To == "" {
+				continue
+			}
+			if from, ok := since[r.Digest]; ok && r.From != r.To {
+				t.Phases[r.From] = append(t.Phases[r.From], time.Duration(r.AtMs-from)*time.Millisecond)
+			}
+			since[r.Digest] = r.AtMs
+			switch {
+			case r.To == string(agent.Fetching):
+				ordered[r.Digest] = r.AtMs
+			case r.To == string(agent.Warming) && r.Build > 1:
+				t.Serving = append(t.Serving, time.Duration(r.AtMs-ordered[r.Digest])*time.Millisecond)
+			}
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n, at := range c.retired {
+		if last := c.stage.book.LastArrival(n); last > 0 {
+			t.Retired[n] = max(0, last-at)
+		}
+	}
+	return t
 }
 
 // listing is what the register is to show, and when.
@@ -57,7 +96,7 @@
 
 func newCrew(s *stage) (*crew, error) {
 	c := &crew{stage: s, log: s.log, digests: map[int]string{}, numbers: map[string]int{}, ids: map[string]uint32{},
-		hosts: map[uint32]*stand.Host{}, listings: make(chan listing, 4096),
+		hosts: map[uint32]*stand.Host{}, retired: map[int]time.Duration{}, listings: make(chan listing, 4096),
 		places: places(s.plan, s.figures, mathrand.New(mathrand.NewPCG(s.plan.Seed, 3)))}
 	var err error
 	if c.controller, err = stand.StartController("127.0.0.1:0"); err != nil {
@@ -300,6 +339,7 @@
 	} else if n.Phase != logic.Released { // overtaken on trial
 		o = api.Order{Digest: digest, Build: number, Goal: "take-back"}
 	}
+	c.retired[number] = c.stage.book.Now()
 	var at []int
 	for place, h := range c.has {
 		if h[number] {
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -76,6 +76,15 @@
 	Moves    []stand.Move
 	Counts   map[string]instance.Counts // by router, of its last life
 	Took     time.Duration
+	Agents   *AgentTimes // nil without agents
+	Stages   []StageScore
+}
+
+// StageScore is what became of the tasks that were asked while a release stood at one point, second by second.
+type StageScore struct {
+	Build, Stage int
+	Phase        logic.Phase
+	stand.Score
 }
 
 // Kept is how many rules were surely kept, and the first that was not.
@@ -106,7 +115,7 @@
 	rand     *rand.Rand
 	wait     sync.WaitGroup
 	mu       sync.Mutex
-	after    []func() // to mend what still lasts at the end
+	stages   []StageScore
 }
 
 // seat is one router's place; its instance changes with restarts.
@@ -142,16 +151,13 @@
 	playing := make(chan struct{})
 	go func() { s.clients.Run(ctx); close(playing) }()
 	s.watch(playing, began, progress)
-	s.mu.Lock()
-	after := s.after
-	s.after = nil
-	s.mu.Unlock()
-	for _, mend := range after {
-		mend()
-	}
 	s.wait.Wait()
 	r := &Result{Plan: p, Moves: s.desk.Moves(), Counts: map[string]instance.Counts{}, Took: time.Since(began)}
 	r.Scores, r.Times = s.clients.Scores()
+	r.Stages = s.stages
+	if s.crew != nil {
+		r.Agents = s.crew.times()
+	}
 	for _, x := range s.routers {
 		x.mu.Lock()
 		if x.instance != nil {
@@ -330,16 +336,28 @@
 			s.fleet.forgetTraffic()
 		}
 		score, open := s.clients.Second()
+		n := s.desk.News()
+		s.count(n, score)
 		if progress == nil {
 			continue
 		}
-		n := s.desk.News()
 		fmt.Fprintf(progress, "%4.0f s  asked %5d  in time %5d  late %4d  turned back %4d  scrapped %3d  lost %3d  open %4d  "+
 			"build %d %s, stage %d\n", time.Since(began).Seconds(), score.Asked, score.InTime, score.Late, score.TurnedBack,
 			score.Scrapped, score.Lost+score.Refused, open, n.Build, phases[n.Phase], n.Stage)
 	}
 }
 
+// count adds a second's score to the stage that the release is in.
+func (s *stage) count(n release.News, score stand.Score) {
+	for i := range s.stages {
+		if x := &s.stages[i]; x.Build == n.Build && x.Stage == n.Stage && x.Phase == n.Phase {
+			x.Score.Add(score)
+			return
+		}
+	}
+	s.stages = append(s.stages, StageScore{n.Build, n.Stage, n.Phase, score})
+}
+
 var phases = []string{"on trial", "going back", "released", "withdrawn"}
 
 func (s *stage) close() {
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"dapplefront/agent"
 	"dapplefront/internal/audit"
 	"dapplefront/internal/stand"
 )
@@ -38,9 +40,31 @@
 			100*float64(s.InTime)/max(1, float64(s.Asked)), s.Late, s.TurnedBack, s.Scrapped, s.Refused, s.Lost+s.Left, s.Wrong,
 			at(t, .5), at(t, .99))
 	}
-	fmt.Fprintf(w, "\n%-10s %8s  %s\n", "release", "moment", "step")
-	for _, m := range r.Moves {
-		fmt.Fprintf(w, "build %-4d %6.1f s  %s, stage %d\n", m.Build, m.At.Seconds(), phases[m.Phase], m.Stage)
+	fmt.Fprintf(w, "\n%-30s %8s %8s %8s %6s %12s %9s\n", "release", "moment", "asked", "in time", "late", "turned back", "scrapped")
+	for _, x := range r.Stages {
+		moment := "-"
+		for _, m := range r.Moves {
+			if m.Build == x.Build && m.Stage == x.Stage && m.Phase == x.Phase {
+				moment = fmt.Sprintf("%.1f s", m.At.Seconds())
+			}
+		}
+		fmt.Fprintf(w, "%-30s %8s %8d %7.2f%% %6d %12d %9d\n", fmt.Sprintf("build %d, stage %d, %s", x.Build, x.Stage, phases[x.Phase]),
+			moment, x.Asked, 100*float64(x.InTime)/max(1, float64(x.Asked)), x.Late, x.TurnedBack, x.Scrapped)
+	}
+	if a := r.Agents; a != nil {
+		fmt.Fprintf(w, "\n%-10s %6s %8s %8s\n", "agents", "times", "p50", "p99")
+		for _, p := range []agent.Phase{agent.Fetching, agent.Checking, agent.Staged, agent.Starting, agent.Warming, agent.Draining, agent.Stopping} {
+			if t := a.Phases[string(p)]; len(t) > 0 {
+				slices.Sort(t)
+				fmt.Fprintf(w, "%-10s %6d %8s %8s\n", p, len(t), at(t, .5), at(t, .99))
+			}
+		}
+		if slices.Sort(a.Serving); len(a.Serving) > 0 {
+			fmt.Fprintf(w, "from order to serving: p50 %s, p99 %s\n", at(a.Serving, .5), at(a.Serving, .99))
+		}
+		for _, n := range slices.Sorted(maps.Keys(a.Retired)) {
+			fmt.Fprintf(w, "build %d: last task %s after its taking off was ordered\n", n, a.Retired[n].Round(time.Millisecond))
+		}
 	}
 	fmt.Fprintf(w, "\n%-10s %9s  %s\n", "rule", "checked", "verdict")
 	for _, v := range r.Verdicts {
@@ -116,10 +140,12 @@
 		TookMs     int64
 		Categories map[string]figure
 		Moves      []stand.Move
+		Stages     []StageScore
+		Agents     *AgentTimes `json:",omitempty"`
 		Routers    any
 		Rules      []audit.Verdict
 		Last       string
-	}{r.Plan, r.Took.Milliseconds(), map[string]figure{}, r.Moves, r.Counts, r.Verdicts, r.Last()}
+	}{r.Plan, r.Took.Milliseconds(), map[string]figure{}, r.Moves, r.Stages, r.Agents, r.Counts, r.Verdicts, r.Last()}
 	for name, s := range r.Scores {
 		t := slices.Clone(r.Times[name])
 		slices.Sort(t)
--- a/internal/stand/clients.go
+++ b/internal/stand/clients.go
@@ -52,7 +52,8 @@
 	Asked, InTime, Late, TurnedBack, Scrapped, Refused, Lost, Left, Wrong int
 }
 
-func (s *Score) add(o Score) {
+// Add adds another score.
+func (s *Score) Add(o Score) {
 	s.Asked += o.Asked
 	s.InTime += o.InTime
 	s.Late += o.Late
@@ -225,11 +226,11 @@
 		s.InTime, s.Late = 0, 1
 	}
 	c.mu.Lock()
-	c.scores[w.Name].add(s)
+	c.scores[w.Name].Add(s)
 	if s.InTime+s.Late > 0 {
 		c.times[w.Name] = append(c.times[w.Name], took)
 	}
-	c.second.add(s)
+	c.second.Add(s)
 	c.open--
 	c.mu.Unlock()
 }
