--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -4,14 +4,23 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"dapplefront/internal/sheet"
+	"dapplefront/internal/stand"
+	"dapplefront/logic"
 )
 
+// The test binary is also the hosts' process in days with agents.
+func TestMain(m *testing.M) {
+	stand.HostProcess()
+	os.Exit(m.Run())
+}
+
 // play plays a day; one that the machine was too busy for to judge is played again.
 func play(t *testing.T, p Plan) *Result {
 	t.Helper()
@@ -62,3 +71,23 @@
 	_, err = Draw("rain", 1, time.Second)
 	require.ErrorContains(t, err, "rain")
 }
+
+func TestABuildThatLacksASignatureNeverServesUnderAgents(t *testing.T) {
+	p, err := Draw("bad-signed+good", 1, 8*time.Second)
+	require.NoError(t, err)
+	p.Agents, p.Hosts, p.Rate = true, 6, 40
+	r := play(t, p)
+	var out bytes.Buffer
+	r.Print(&out)
+	require.Equal(t, 0, r.Exit(), out.String())
+	require.NotEmpty(t, r.Agents.Phases["fetching"])
+	var phases []logic.Phase
+	for _, m := range r.Moves {
+		if m.Build == 2 {
+			phases = append(phases, m.Phase)
+		}
+	}
+	require.Equal(t, []logic.Phase{logic.OnTrial, logic.GoingBack, logic.Withdrawn}, phases, out.String())
+	_, took := r.Agents.Retired[2]
+	require.False(t, took, "no task reached it")
+}
