--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -56,6 +56,7 @@
 	reach  Reach
 	budget *http1.Budget
 	hosts  map[uint32]*host
+	left   []*link // idle links to hosts that are gone
 	closed bool
 }
 
@@ -84,10 +85,12 @@
 	}
 }
 
-// Leave closes the idle links to a host that is gone, and forgets it.
+// Leave forgets a host that is gone. Its idle links are left to it to close, and closed a little later if it doesn't:
+// many closed at once on both sides are what nbio is weak at (docs/router.md).
 func (p *Pool) Leave(id uint32) {
 	if h := p.hosts[id]; h != nil {
-		h.dropIdle(func(*link) bool { return true })
+		p.left = append(p.left, h.idle...)
+		h.idle = nil
 		delete(p.hosts, id)
 	}
 }
@@ -127,6 +130,16 @@
 		for _, h := range p.hosts {
 			h.dropIdle(func(l *link) bool { return now-l.free > loop.Span(p.reach.Idle) })
 		}
+		kept := p.left[:0]
+		for _, l := range p.left {
+			if !l.gone && now-l.free > loop.Span(p.reach.Idle) {
+				l.drop()
+			} else if !l.gone {
+				kept = append(kept, l)
+			}
+		}
+		clear(p.left[len(kept):])
+		p.left = kept
 		if !p.closed {
 			p.sweepLater()
 		}
--- a/internal/day/agents.go
+++ b/internal/day/agents.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -128,12 +129,15 @@
 	if err := c.pack(stand.Build{Number: 1}, "good"); err != nil {
 		return c, err
 	}
+	for i := range c.places { // known before the first agent reports
+		c.names, c.has = append(c.names, fmt.Sprintf("h%d", i+1)), append(c.has, map[int]bool{1: true})
+	}
 	for i, m := range c.places {
 		place, err := json.Marshal(m)
 		if err != nil {
 			return c, err
 		}
-		name := fmt.Sprintf("h%d", i+1)
+		name := c.names[i]
 		a, err := agentd.Start(agentd.Post{Name: name, Dir: filepath.Join(s.dir, name), Controller: c.controller.URL(),
 			Source: depot.Source{Mirrors: []string{c.mirror.URL()}, Tries: 3, Pause: 50 * time.Millisecond, Silence: 2 * time.Second},
 			Disk:   64 << 20, Log: 64 << 10, Ring: ring, Cold: s.figures.cold, Drain: s.figures.drains,
@@ -142,7 +146,7 @@
 		if err != nil {
 			return c, err
 		}
-		c.agents, c.names, c.has = append(c.agents, a), append(c.names, name), append(c.has, map[int]bool{1: true})
+		c.agents = append(c.agents, a)
 		c.controller.Order(name, api.Order{Digest: c.digests[1], Build: 1, Goal: "release"})
 	}
 	for _, name := range c.names { // the day begins with warm hosts
@@ -239,7 +243,7 @@
 			return c.places[i]
 		}
 	}
-	return c.places[len(c.names)%len(c.places)] // it reports before its start has returned
+	return stand.Machine{} // no agent of ours
 }
 
 // show lets the register follow, as late as it does.
@@ -286,8 +290,7 @@
 		got := c.controller.AwaitAfter(name, mark, digest, patient, words...)
 		return got != "" && got != string(agent.Failed) && got != string(agent.TakenBack)
 	}
-	all := true
-	var mu sync.Mutex
+	var failed atomic.Bool
 	each := func(places []int, do func(int) bool) {
 		var wait sync.WaitGroup
 		for _, place := range places {
@@ -295,9 +298,7 @@
 			go func() {
 				defer wait.Done()
 				if !do(place) {
-					mu.Lock()
-					all = false
-					mu.Unlock()
+					failed.Store(true)
 				}
 			}()
 		}
@@ -315,13 +316,13 @@
 		go func() {
 			defer wait.Done()
 			atOnce := max(1, len(c.places)/len(byLocation)/3)
-			for from := 0; from < len(places) && all; from += atOnce {
+			for from := 0; from < len(places) && !failed.Load(); from += atOnce {
 				each(places[from:min(len(places), from+atOnce)], func(place int) bool { return order(place, "serve", agent.Warming) })
 			}
 		}()
 	}
 	wait.Wait()
-	if all {
+	if !failed.Load() {
 		time.Sleep(c.stage.figures.listLate)
 		c.stage.desk.Hear(release.Ready{Build: number})
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -36,7 +36,8 @@
 	charter  *charter.Charter
 	log      *slog.Logger
 	loop     *loop.Loop
-	engine   *sock.Engine
+	engine   *sock.Engine // clients' side
+	far      *sock.Engine // hosts' side, apart from it (docs/router.md)
 	mind     *router.Router
 	door     *front.Door
 	pool     *back.Pool
@@ -83,7 +84,12 @@
 		return nil, fmt.Errorf("router %s: %w", c.Name, err)
 	}
 	i.address = listener.Addr()
-	if i.engine, err = sock.Start(c.Name, 1); err != nil {
+	if i.engine, err = sock.Start(c.Name, 1); err == nil {
+		if i.far, err = sock.Start(c.Name+" hosts", 1); err != nil {
+			i.engine.Stop()
+		}
+	}
+	if err != nil {
 		_ = listener.Close()
 		return nil, fmt.Errorf("router %s: %w", c.Name, err)
 	}
@@ -96,6 +102,7 @@
 		}}); err != nil {
 		_ = listener.Close()
 		i.engine.Stop()
+		i.far.Stop()
 		return nil, err
 	}
 	go i.keepLists()
@@ -113,7 +120,7 @@
 // begin makes the mind and tells it the last list.
 func (i *Instance) begin() {
 	c := i.charter
-	i.pool = back.NewPool(i.loop, i.engine, c.Reach, i.budget)
+	i.pool = back.NewPool(i.loop, i.far, c.Reach, i.budget)
 	i.door = front.NewDoor(i.loop, c.Welcome, i.budget, i.take)
 	place := c.Place
 	place.Seed ^= uint64(i.loop.Now()) // another life, other chance
@@ -180,6 +187,7 @@
 func (i *Instance) Kill() {
 	i.loop.Close()
 	i.engine.Stop()
+	i.far.Stop()
 	i.register.Close()
 	i.desk.Close()
 	close(i.keep)
