--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -234,7 +234,7 @@
 func (f *fleet) close() {
 	f.mu.Lock()
 	f.closed = true
-	hosts := f.hosts
+	hosts := slices.Clone(f.hosts) // others may still be taken out of it
 	f.mu.Unlock()
 	for _, h := range hosts {
 		h.Kill()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// Close ends the loop; work in line is dropped, work that runs goes on to its end.
+// Close ends the loop; work in line is dropped, and the piece that runs is waited for. It must not be called from work.
 func (l *Loop) Close() {
 	if l.closed.Swap(true) {
 		return
@@ -103,6 +103,11 @@
 	if l.timer != nil {
 		l.timer.Stop()
 	}
+	for l.busy {
+		l.mu.Unlock()
+		time.Sleep(100 * time.Microsecond)
+		l.mu.Lock()
+	}
 	l.mu.Unlock()
 }
 
