One piece of code writes files whole; the poller's unused Listen goes

The list's keeper, the packer and the agent each wrote a file under a temporary name, synced and renamed it. internal/whole does it for all three; sock.Engine.Listen had no caller.

Measured: vet, and the tests of depot, register, agentd and instance that write and read such files, pass under the race detector.

--- a/internal/agentd/agentd.go
+++ b/internal/agentd/agentd.go
@@ -27,6 +27,7 @@
 	"dapplefront/internal/journal"
 	"dapplefront/internal/proc"
 	"dapplefront/internal/sse"
+	"dapplefront/internal/whole"
 )
 
 // Post is what an agent is told at start.
@@ -421,10 +422,10 @@
 				signatures, err = a.get(ctx, mirror, "/signatures/"+digest)
 			}
 			if err == nil {
-				err = writeWhole(a.file(digest, ".sigs"), signatures)
+				err = whole.Write(a.file(digest, ".sigs"), signatures, 0o600)
 			}
 			if err == nil {
-				err = writeWhole(a.file(digest, ".json"), raw)
+				err = whole.Write(a.file(digest, ".json"), raw, 0o600)
 			}
 			if err == nil {
 				return nil
@@ -458,28 +459,6 @@
 	return io.ReadAll(io.LimitReader(got.Body, build.MostBytes+1))
 }
 
-func writeWhole(file string, raw []byte) error {
-	tmp := file + ".tmp"
-	f, err := os.Create(tmp)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(raw)
-	if err == nil {
-		err = f.Sync()
-	}
-	if err2 := f.Close(); err == nil {
-		err = err2
-	}
-	if err == nil {
-		err = os.Rename(tmp, file)
-	}
-	if err != nil {
-		_ = os.Remove(tmp)
-	}
-	return err
-}
-
 // verified reads a manifest that is here and checks who signed it.
 func (a *Agent) verified(digest string, old bool) (*build.Manifest, error) {
 	raw, err := os.ReadFile(a.file(digest, ".json"))
@@ -548,7 +527,7 @@
 				next, err = ring.Next(raw, all, time.Now())
 			}
 			if err == nil {
-				err = writeWhole(filepath.Join(a.post.Dir, "ring.json"), raw)
+				err = whole.Write(filepath.Join(a.post.Dir, "ring.json"), raw, 0o600)
 			}
 			if err != nil {
 				a.log.Warn("a ring is not taken", "version", ring.Version+1, "error", err)
--- a/internal/depot/pack.go
+++ b/internal/depot/pack.go
@@ -15,6 +15,7 @@
 	"aead.dev/minisign"
 
 	"dapplefront/build"
+	"dapplefront/internal/whole"
 )
 
 // Pack makes a build of a folder: its files go to out/sha256, its manifest to out/manifest/DIGEST. It returns the
@@ -47,7 +48,7 @@
 		}
 		f := build.File{Path: filepath.ToSlash(rel), Size: int64(len(raw)), SHA256: build.Digest(raw), Run: s.Mode()&0o111 != 0}
 		m.Files = append(m.Files, f)
-		return whole(filepath.Join(out, "sha256", f.SHA256), raw)
+		return whole.Write(filepath.Join(out, "sha256", f.SHA256), raw, 0o644)
 	})
 	if err != nil {
 		return "", err
@@ -57,32 +58,7 @@
 		return "", err
 	}
 	digest := build.Digest(raw)
-	return digest, whole(filepath.Join(out, "manifest", digest), raw)
-}
-
-// whole writes a file whole or not at all.
-func whole(file string, raw []byte) error {
-	tmp, err := os.CreateTemp(filepath.Dir(file), "new-*")
-	if err != nil {
-		return err
-	}
-	_, err = tmp.Write(raw)
-	if err == nil {
-		err = tmp.Sync()
-	}
-	if err == nil {
-		err = tmp.Chmod(0o644)
-	}
-	if err2 := tmp.Close(); err == nil {
-		err = err2
-	}
-	if err == nil {
-		err = os.Rename(tmp.Name(), file)
-	}
-	if err != nil {
-		_ = os.Remove(tmp.Name())
-	}
-	return err
+	return digest, whole.Write(filepath.Join(out, "manifest", digest), raw, 0o644)
 }
 
 func signatures(out, digest string) (all []string, err error) {
@@ -132,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	return whole(filepath.Join(out, "signatures", digest), text)
+	return whole.Write(filepath.Join(out, "signatures", digest), text, 0o644)
 }
 
 // Verify checks a packed build as an agent would, files and all. A *build.Refused tells why it is refused.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -132,7 +132,7 @@
 // Guests is how many connections are open.
 func (d *Door) Guests() int { return len(d.guests) }
 
-// Enter is the session of a new connection (for sock.Engine.Listen).
+// Enter is the session of a new connection (for sock.Engine.Accept).
 func (d *Door) Enter(c *sock.Conn) sock.Session {
 	g := &guest{door: d, conn: c, reader: http1.NewReader(d.welcome.Bounds, d.budget, false)}
 	if a, ok := c.Remote().(*net.TCPAddr); ok {
--- a/internal/register/last.go
+++ b/internal/register/last.go
@@ -4,7 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"path/filepath"
+
+	"dapplefront/internal/whole"
 )
 
 // kept is the file of a last list.
@@ -21,24 +22,7 @@
 	if err != nil {
 		return err
 	}
-	tmp, err := os.CreateTemp(filepath.Dir(file), filepath.Base(file)+".*")
-	if err != nil {
-		return err
-	}
-	_, err = tmp.Write(text)
-	if err == nil {
-		err = tmp.Sync()
-	}
-	if err2 := tmp.Close(); err == nil {
-		err = err2
-	}
-	if err == nil {
-		err = os.Rename(tmp.Name(), file)
-	}
-	if err != nil {
-		_ = os.Remove(tmp.Name())
-	}
-	return err
+	return whole.Write(file, text, 0o600)
 }
 
 // Last reads what Keep wrote. No file is no list and no error.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -139,17 +139,7 @@
 	return h
 }
 
-// Listen accepts connections at an address and asks open for the session of each; a nil session closes it.
-func (e *Engine) Listen(address string, open func(*Conn) Session) (net.Addr, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	e.Accept(l, open)
-	return l.Addr(), nil
-}
-
-// Accept does the same with a listener that is open already.
+// Accept accepts connections of a listener and asks open for the session of each; a nil session closes it.
 func (e *Engine) Accept(l net.Listener, open func(*Conn) Session) {
 	e.mu.Lock()
 	e.listeners = append(e.listeners, l)
