--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -3,6 +3,7 @@
 package drill
 
 import (
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -82,6 +83,12 @@
 		MaxOpen: int(p.Int("Permissions.MaxOpen")), TwoAtOnce: p.Bool("Permissions.SecondCopies"),
 		Pushed: p["RegistryMode"] == "pushed", CrossPrice: p.Float("Prices.CrossZone"),
 		WastePrice: p.Float("Prices.Waste"), OverShare: p.Float("OverShareWorth")}
+	const message = 256 // bytes; the wire states it, its settings don't
+	if p.Bool("Permissions.Peers") {
+		place.Limits.Peers = message
+	}
+	place.Limits.Probes = p.Bool("Permissions.Probes")
+	place.Limits.ByProbe = p["Report.How"] == "on_probe"
 	if p.Bool("Permissions.RetryAfter") {
 		place.Limits.LongestStay = span(p.Int("Permissions.MaxRetryAfterUs"))
 	}
@@ -153,6 +160,10 @@
 	case wire.CountsByBuild:
 		return router.Counted{Build: e.Image, Category: e.Qos, Bad: e.Bad, Samples: e.Samples, Mean: span(e.RttUs),
 			Age: span(e.AgeUs), Over: s.counted}
+	case wire.FromPeer:
+		return router.Heard{Peer: e.Author, Body: string(e.Body)}
+	case wire.HealthResult:
+		return router.Probed{Host: e.Host, Fate: fates[e.Code], Took: span(e.RttUs), Load: s.load(e.Metrics)}
 	case wire.BadAnswer:
 		return router.Complained{Host: e.Host, Category: e.Qos, Age: span(e.AgeUs)}
 	}
@@ -220,6 +231,10 @@
 			s.out.Act(s.instance, "STREAM_CHANGES", 1)
 		case router.Vote:
 			s.out.Act(s.instance, "JUDGE", a.Build, a.Stage, int(a.Voice))
+		case router.Tell:
+			s.out.Act(s.instance, "PUBLISH", a.Peer, base64.StdEncoding.EncodeToString([]byte(a.Body)))
+		case router.Probe:
+			s.out.Act(s.instance, "PING", a.Host)
 		case router.Note:
 			s.out.Act(s.instance, "LOG", a.Text)
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -81,8 +82,16 @@
 		Qos   string
 		AgeUs int64
 	}
-	// Unused is an event that this adapter has no use for (peers, probes).
-	Unused struct{}
+	FromPeer struct {
+		Author int
+		Body   []byte
+	}
+	HealthResult struct {
+		RttUs   int64
+		Code    string
+		Host    uint32
+		Metrics []float64
+	}
 )
 
 // Params are the settings that come with LAUNCH, by path.
@@ -266,8 +275,17 @@
 		}
 		f.rest = ""
 		return Launch{seed, p}
-	case "HEALTH_RESULT", "FROM_PEER":
-		return Unused{}
+	case "FROM_PEER":
+		e := FromPeer{Author: int(f.whole("a peer"))}
+		var err error
+		if e.Body, err = base64.StdEncoding.DecodeString(f.word()); err != nil {
+			f.fail("a body in base64")
+		}
+		return e
+	case "HEALTH_RESULT":
+		return HealthResult{f.whole("a time"),
+			f.oneOf("an outcome", "served", "server_error", "turned_away", "no_answer", "no_connection",
+				"connection_lost", "called_off", "not_sent"), f.host(), f.numbers()}
 	}
 	f.fail("a known event")
 	return nil
--- a/logic/host_test.go
+++ b/logic/host_test.go
@@ -18,6 +18,9 @@
 	turned, scrapped      []*Task
 	votes                 []Voice
 	asks                  int
+	told                  [][]byte
+	to                    []int
+	probed                []*Host
 	alarms                []*Alarm
 	due                   []Time
 }
@@ -30,6 +33,8 @@
 }
 func (f *fake) WatchHosts()                       { f.asks++ }
 func (f *fake) Vote(_, _ int, v Voice)            { f.votes = append(f.votes, v) }
+func (f *fake) Tell(peer int, b []byte)           { f.told = append(f.told, b); f.to = append(f.to, peer) }
+func (f *fake) Probe(h *Host)                     { f.probed = append(f.probed, h) }
 func (f *fake) Note(string)                       {}
 func (f *fake) host(id uint32, build int) Listing { return f.hostAt(id, build, f.here) }
 func (f *fake) hostAt(id uint32, build int, at *Location) Listing {
@@ -44,7 +49,7 @@
 		payment: &Category{Repeat: Binding, Promised: Second, Earnings: 2}}
 	p := Place{Seed: 7, Routers: 1, Location: f.here, Categories: []*Category{f.quote, f.order, f.payment},
 		Limits: Limits{Grace: Second, Cold: 5 * Second, ColdShare: 0.3, Tip: 3, TipFor: Second,
-			AskWithin: 10 * Second, MaxSends: 4, TwoAtOnce: true},
+			AskWithin: 10 * Second, MaxSends: 4, TwoAtOnce: true, CrossPrice: 0.1},
 		Desk: Desk{Caps: []float64{0.1, 0.5, 1}, LeastTime: Second, VoteLife: 10 * Second, VoteTimeout: Second,
 			Window: 4 * Second, Free: 1, Guarded: 1}}
 	if change != nil {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,5 @@
 // All decisions, tables and tuned values of dapplefront. Make a Router with NewRouter, then tell it what
-// happens (Listed, Take, Ended, Left, Due, Told, Counted, Complained), each with the clock; it answers
+// happens (Listed, Take, Ended, Left, Due, Told, Counted, Complained, Heard), each with the clock; it answers
 // through its Hands before the call returns. The interface, nouns and all, is in types.go; docs/design.md
 // says why.
 package logic
@@ -15,7 +15,7 @@
 func NewRouter(now Time, p Place, hands Hands) *Router {
 	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers), rank: p.Rank,
 		location: p.Location, cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{},
-		crowd: 0.3} // until there are samples: a fleet that is neither idle nor full
+		blames: map[int]int{}, unsaid: map[int]int{}, crowd: 0.3} // until there are samples: a fleet that is neither idle nor full
 	for _, c := range r.cats {
 		c.mid = max(1, c.Promised/5) // until something is known
 	}
@@ -34,6 +34,8 @@
 	case a.send == nil:
 		r.crowding(40, 6, 0.02, 1.5) // few sends make no line, and one very long task says little
 		r.hangs()
+		r.relents()
+		r.gossip()
 		r.judge()
 		r.hands.WakeUp(judgeEvery, a)
 	case a.send.fate == Out && !a.send.began:
@@ -82,7 +84,8 @@
 }
 
 // mayWarm keeps a cold host from being pushed over by all routers together: each sends its part of what the
-// rule allows, by what hosts get now; below one send they take turns by rank, on a clock that all share.
+// rule allows, by what hosts get now. Where that is below one send, tasks go by chance, so often that all
+// routers' sums keep to it however uneven they are: turns by rank left the work of one router in a hundred.
 func (r *Router) mayWarm(h *Host) bool {
 	const part = 0.5            // of the budget; the rest is for uneven routers, heavy tasks and bursts
 	const flowOver = 4 * Second // long enough to even out bursts
@@ -90,9 +93,12 @@
 		return true
 	}
 	budget := part * r.limits.Tip * r.strength(h) * float64(r.limits.TipFor) * r.rate(flowOver)
-	turn := int(r.now/r.limits.TipFor)*(1+r.routers/2) + int(h.ID)%r.routers + r.rank
-	mine := float64(turn%r.routers) < budget*float64(r.routers)
-	return mine && since(h.sent, r.now-r.limits.TipFor, nil)+1 <= max(1, budget)
+	if since(h.sent, r.now-r.limits.TipFor, nil)+1 > max(1, budget) {
+		return false
+	}
+	due := since(r.taken, r.now-flowOver, nil) * float64(r.limits.TipFor) / float64(flowOver) *
+		r.able(h) / max(r.able(h), r.allAble(func(x *Host) bool { return r.old(x) == r.old(h) }))
+	return due <= budget || float64(r.chance(1000)) < 1000*budget/due
 }
 
 // ---- Choosing a host ----
@@ -103,6 +109,9 @@
 func (r *Router) held(h *Host) float64 {
 	const fades = Second // about what it takes a queue to become another
 	own := float64(len(h.open))
+	if len(r.reports) == 0 && r.counting() {
+		return r.laden + own // a router's own few, times their number, would be a host's load now and nothing then
+	}
 	if len(r.reports) == 0 {
 		return own * float64(r.routers)
 	}
@@ -124,6 +133,9 @@
 	const lately, more = Second, 3    // as long as a report says much; few, lest one host draws all
 	const barred, last = 0.2, 20      // of the last sends: more than a few hosts refuse
 	here, there := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
+	if r.together() {
+		here, there = append(here, there...), nil
+	}
 	busy := func(h *Host) float64 { return r.pace(h, doubt, old) * (1 + r.held(h)) }
 	scarce := r.share(last, func(x moment) bool { return x.fate == NoLink }) > barred
 	draw := func(from []*Host) (best *Host) {
@@ -154,22 +166,35 @@
 	return a
 }
 
-// lot draws a host: all alike, or the first of a draw by the parts of a plan that holds. The other stays drawn alike, so
-// that a plan that has become wrong is corrected by how busy the two are.
+// together tells that hosts are drawn wherever they stand: where crossing costs less than an uneven split of
+// traffic or hosts over locations does, which a router with little traffic can't see. Not while the way there
+// is poor: of the last sends there far more failed or dragged than of those nearby.
+func (r *Router) together() bool {
+	const cheap = 0.02 // points of service: near sends alone lost five times that
+	const few, gap = 1.5, 0.3
+	if r.limits.CrossPrice > cheap {
+		return false
+	}
+	there, here := r.ways[far].as(r.now), r.ways[near].as(r.now)
+	return there.bad < few || there.bad/there.n < here.bad/max(1, here.n)+gap
+}
+
+// lot draws a host by what it can do, as the list hints at it and as it warms, or the first of a draw by the
+// parts of a plan that holds. The other stays drawn so, that a plan that has become wrong is corrected by how
+// busy the two are. Most routers meet a host too seldom to learn its speed.
 func (r *Router) lot(from []*Host, first bool) *Host {
-	sum := 0.0
-	if first && r.now < r.course.Until {
-		for _, h := range from {
-			sum += h.part
-		}
+	of := r.able
+	if first && r.now < r.course.Until && slices.ContainsFunc(from, func(h *Host) bool { return h.part > 0 }) {
+		of = func(h *Host) float64 { return h.part }
 	}
-	if sum == 0 {
-		return from[r.chance(len(from))]
+	sum := 0.0
+	for _, h := range from {
+		sum += of(h)
 	}
 	const grain = 1 << 20 // finer than any share that matters
 	at := float64(r.chance(grain)) / grain * sum
 	for _, h := range from {
-		if at -= h.part; at < 0 {
+		if at -= of(h); at < 0 {
 			return h
 		}
 	}
@@ -223,10 +248,13 @@
 	return nil
 }
 
-// probation picks a sick host whose turn for a trickle has come; only repeatable tasks go there.
+// probation picks a sick host whose turn for a trickle has come; only repeatable tasks go there. Where peers
+// tell what they meet, the trickle is that of all routers, or hundreds of them would keep a sick host busy.
 func (r *Router) probation(t *Task) *Host {
-	const wait = Second // slow enough to cost little, fast enough to find a recovery
-	if r.standing().sick == 0 {
+	const wait, all = Second, 4.0 // slow enough to cost little, fast enough to find a recovery; of all, in it
+	few := all * float64(r.standing().sick) / float64(r.routers)
+	if r.standing().sick == 0 || r.limits.Peers > 0 &&
+		float64(r.chance(1000)) >= 1000*few/max(1, since(r.taken, r.now-wait, nil)) {
 		r.drawn++ // as pick does for whatever it finds
 		return nil
 	}
@@ -236,38 +264,43 @@
 	})
 }
 
-// onTrial picks a host for a copy, or nil where one is not allowed or not wanted. Categories with an effect
-// go there only after the guarded stages, and only until they have been judged.
+// onTrial picks a host for a copy, or nil where one is not allowed or not wanted. A host on trial is given what
+// one of the earlier build gets, by what it can do: one that fails under load must do so before the release, and
+// what a good build serves early is worth its delay. Categories with an effect follow after the first stages,
+// a few until they have been judged, and then all whose likely harm costs less than the delay of the rest.
 func (r *Router) onTrial(t *Task) *Host {
-	const part = 0.7                            // of what earlier hosts get: its own load must prove nothing
-	const cleared, guilty = 0.1, 10             // odds: an effect is risked no more than judging it takes
+	const part, taste = 1.0, 0.25               // of what earlier hosts get; of that, effects not yet judged
+	const cleared, guilty, fails = 0.1, 10, 0.3 // odds; what a bad build fails of a category, more or less
 	const lately, least, all = 2 * Second, 2, 8 // a while, copies in it of each router at the least, and of all
 	const few = 4                               // routers; of more, those nearby suffice: no way there is judged
-	n := r.news
+	n, c := r.news, t.Category
 	alone := r.ballot.voice == Back && r.desk.ToAbort <= 1 // others may not agree, and more copies change a mind
-	if !r.heard || n.Phase != OnTrial || alone || r.resting() || !r.room(n.Build, t.Category) {
+	if !r.heard || n.Phase != OnTrial || alone || r.resting() || !r.room(n.Build, c) {
 		return nil
 	}
-	any := r.routers <= few && r.count(func(h *Host) bool { return r.runs(h) && r.side(h) == near }) == 0
+	any := r.together() ||
+		r.routers <= few && r.count(func(h *Host) bool { return r.runs(h) && r.side(h) == near }) == 0
 	by := func(h *Host) bool { return any || r.side(h) == near }
-	on := func(h *Host) bool { return r.runs(h) && by(h) && r.now-h.Up > r.limits.Cold }
-	if r.count(on) == 0 || n.Stage+1 >= len(r.desk.Caps) && !r.byDesk() { // warm ones tell most, all slow it
-		on = func(h *Host) bool { return r.runs(h) && by(h) }
-	}
+	on := func(h *Host) bool { return r.runs(h) && by(h) }
 	peer := func(h *Host) bool { return r.old(h) && by(h) }
-	each := part * since(r.flow, r.now-lately, nil) / max(1, r.count(peer))
-	due := max(min(least, all/float64(r.routers)), each*r.strong(on))
+	each := part * since(r.taken, r.now-lately, nil) / max(1, r.allAble(peer))
+	due := max(min(least, all/float64(r.routers)), each*r.allAble(on))
+	if c.Repeat != Retriable && r.desk.HarmPrice*fails*c.odds >= r.desk.DelayPrice {
+		if c.odds < cleared || c.odds > guilty || float64(r.chance(1000)) >= 1000*taste {
+			return nil
+		}
+	}
 	if due >= least {
 		due -= since(r.tried, r.now-lately, nil) + 1
 	} else { // less than a router can count: by chance, lest all of them send at once
 		due = due/max(1, since(r.taken, r.now-lately, nil)) - float64(r.chance(1000))/1000
 	}
-	if due < 0 || t.Category.Repeat != Retriable && (t.Category.odds < cleared || t.Category.odds > guilty) {
+	if due < 0 || c.Repeat != Retriable && n.Stage == 0 {
 		return nil
 	}
 	return r.pick(t, func(h *Host) bool { // a sick one is judged too, but not at the cost of an effect
-		return on(h) && (h.health != sick || t.Category.Repeat == Retriable) &&
-			since(h.sent, r.now-lately, nil) < max(1, each/part*r.strength(h)) // not what others are too cold for
+		return on(h) && (h.health != sick || c.Repeat == Retriable) &&
+			since(h.sent, r.now-lately, nil) < max(1, each*r.able(h)) // not what others are too cold for
 	})
 }
 
@@ -349,7 +382,29 @@
 		limit *= beyond
 	}
 	limit *= max(least, 1-firm*r.share(last, func(x moment) bool { return x.late }))
-	return r.jam(r.side(h))*float64(t.Category.mid) > limit*float64(min(t.Category.Promised, t.Patience))
+	jam := r.jam(r.side(h))
+	if r.limits.Peers > 0 {
+		jam = r.rushed(t.Category)
+	}
+	return jam*float64(t.Category.mid) > limit*float64(min(t.Category.Promised, t.Patience))
+}
+
+// rushed is the jam of one category, as this router and its peers see it together: one alone of hundreds holds
+// a send or none, and a category that waits by itself at all hosts is no jam of the others.
+func (r *Router) rushed(c *Category) float64 {
+	const few, luck, lag = 10, 0.5, 3.0 // usual answers to lean on; as in a jam seen alone
+	out, hosts := 0.0, float64(r.standing().well[near]+r.standing().well[far])
+	for _, x := range r.cats {
+		out += float64(x.out) + x.told.as(r.now).out
+	}
+	if out*float64(r.routers)/(1+r.voices*fade(r.now-r.heardAt)) <= hosts {
+		return 0
+	}
+	own, told, lean := c.seen.as(r.now), c.told.as(r.now), few*float64(c.mid)
+	work, took := own.work+told.work+lean, own.took+told.took+lean
+	out = float64(c.out) + told.out
+	out = max(0, out-luck*math.Sqrt(out))
+	return min((out*float64(fading)+lean)/work, lag*took/work)
 }
 
 func (r *Router) send(t *Task, h *Host, how role) {
@@ -499,11 +554,13 @@
 	r.move(h, in)
 }
 
+const tardy = 4 // usual times of a host that holds as much, after which a send seems stuck
+
 // hangs finds hosts that take tasks and answer none before these run out of time. When half the fleet or
 // more does so none is to blame.
 func (r *Router) hangs() {
-	const few, times = 3, 4 // three sends, four usual times of a host that holds as much
-	hung := func(h *Host) bool { return h.health == fit && h.stuck(r.now, times) >= few }
+	const few = 3 // sends
+	hung := func(h *Host) bool { return h.health == fit && h.stuck(r.now, tardy) >= few }
 	blame := 2*r.count(hung) < r.count(func(h *Host) bool { return h.health == fit })
 	for _, h := range r.hosts {
 		if blame && hung(h) {
@@ -519,7 +576,7 @@
 // they do, so that neither a bad build nor a slow fleet empties the list.
 func (r *Router) failing(h *Host) bool {
 	const gap, drag, least = 0.35, 3.0, 6 // about three of the last eight; three times as slow as its peers
-	share, strain := h.ails(least)
+	share, strain := r.ails(h, least)
 	if share <= gap && strain <= drag { // whatever its peers do
 		return false
 	}
@@ -527,6 +584,101 @@
 	return len(shares) > 1 && (share > gap+2*above(shares, 0.5) || strain > drag*max(1, above(strains, 0.5)))
 }
 
+// ---- Peers ----
+
+const firsthand, passedOn = 0.5, 0.5 // what a peer's word weighs against an own send: others' links are others'
+
+// gossip tells a peer drawn by chance, nearby where any is known, what was met lately and what peers told of
+// theirs: passed on once, so that no word comes back as new. Where hundreds meet a host once in ten seconds
+// each, only so they know it before it has failed them all. Complaints are rare and go to all.
+func (r *Router) gossip() {
+	const oneIn, kin, many = 5, 3, 16 // looks; of those nearby but one in so many; words, the worst first
+	const least = 0.3                 // of a send: older is forgotten
+	if r.limits.Peers == 0 || r.routers < 2 || r.chance(oneIn) > 0 {
+		return
+	}
+	for _, b := range r.books {
+		if n := r.unsaid[b.build]; n > 0 {
+			r.hands.Tell(Everyone, packBlame(b.build, n))
+			delete(r.unsaid, b.build)
+		}
+	}
+	d := digest{way: r.ways[far].as(r.now)}
+	for _, c := range r.cats {
+		x := c.seen.as(r.now)
+		x.out = float64(c.out)
+		d.rushes = append(d.rushes, x)
+	}
+	for _, h := range r.hosts {
+		if d.stands == nil && r.side(h) == near {
+			d.stands = h
+		}
+		for hop := range 2 {
+			w := h.words[hop].as(r.now)
+			if hop == 0 {
+				n := float64(h.stuck(r.now, tardy))
+				w.n, w.bad = w.n+n, w.bad+n
+			}
+			if w.n > least {
+				d.hosts, d.hops, d.words = append(d.hosts, h), append(d.hops, hop), append(d.words, w)
+			}
+		}
+	}
+	d.worst(many)
+	peer := r.chance(r.routers - 1)
+	if peer >= r.rank {
+		peer++
+	}
+	if len(r.fellows) > 0 && r.chance(kin) > 0 {
+		peer = r.fellows[r.chance(len(r.fellows))]
+	}
+	r.hands.Tell(peer, d.pack(r.limits.Peers))
+}
+
+// Heard takes in a peer's word. It names no host that the own list has not and moves no bound of a rule; what
+// can't be read is dropped whole. Of a way only those know who stand at the same end.
+func (r *Router) Heard(now Time, peer int, body []byte) {
+	const known = 16 // fellows
+	r.now = now
+	if build, n, ok := unpackBlame(body); ok {
+		r.blames[build] += n
+		return
+	}
+	d, ok := r.unpack(body)
+	if !ok || peer == r.rank {
+		return
+	}
+	r.voices, r.heardAt = 1+r.voices*fade(now-r.heardAt), now
+	for i, c := range r.cats {
+		c.told.add(d.rushes[i])
+	}
+	if d.stands == nil || r.side(d.stands) != near {
+		return
+	}
+	if !slices.Contains(r.fellows, peer) {
+		r.fellows = keep(r.fellows, peer, known)
+	}
+	r.ways[far].add(d.way)
+	for i, h := range d.hosts {
+		h.words[d.hops[i]+1].add(d.words[i])
+		if h.health == fit && r.failing(h) {
+			r.move(h, fails)
+		}
+	}
+}
+
+// relents lets a sick host be tried again once what spoke against it has faded, where peers watch it too: the
+// trickle of one router in hundreds would not find it well for minutes.
+func (r *Router) relents() {
+	const trace = 0.3 // of a bad send
+	for _, h := range r.hosts {
+		if h.health == sick && r.limits.Peers > 0 &&
+			h.words[0].as(r.now).bad+h.rumour(r.now, firsthand, passedOn).bad < trace {
+			r.move(h, works)
+		}
+	}
+}
+
 // ---- Evidence ----
 
 // spoken bounds the odds by the number of hosts that speak for them: each may at most quadruple them.
@@ -682,7 +834,16 @@
 	} else if r.now-r.quickAt > lasting && r.quickAt < r.staged+begins { // later, it is another trouble
 		add(1, math.Inf(1), 1)
 	}
-	if r.desk.Complaints > 0 {
+	if r.limits.Peers > 0 && r.byDesk() && r.desk.Complaints > 0 { // of all routers, against all sends
+		wrong := func(b int) part {
+			return part{bad: float64(r.blames[b]), n: r.sendsAt(b) / r.desk.Counted}
+		}
+		x, y := wrong(now.build), wrong(before.build)
+		x.usual = max(0.003, y.bad/max(1, y.n)) // now and then a client errs
+		x.n = max(x.n, x.bad)                   // complaints may come before the counts
+		o := odds([]part{x}, 0.01, 0.04)
+		add(1, o, o)
+	} else if r.desk.Complaints > 0 {
 		usual := max(0.003, before.complaints()/float64(len(before.samples)+1)) // now and then a client errs
 		o := odds([]part{{now.complaints(), float64(len(now.samples)), usual}}, 0.01, 0.04)
 		add(1, o, o)
--- a/logic/muster_test.go
+++ b/logic/muster_test.go
@@ -17,6 +17,8 @@
 func (m *mute) WatchHosts()          {}
 func (m *mute) Vote(int, int, Voice) {}
 func (m *mute) Note(string)          {}
+func (m *mute) Tell(int, []byte)     {}
+func (m *mute) Probe(*Host)          {}
 
 // TestSumsThatAreKeptEqualSumsMadeAnew holds the running sums to what a walk over all hosts and answers finds, after any
 // events.
--- /dev/null
+++ b/logic/peers.go
@@ -0,0 +1,166 @@
+package logic
+
+// This file keeps what peers tell, packs and unpacks it. Nothing is decided here.
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+)
+
+// fading is how long sums of what was seen last: about as long as a host's trouble or a jam takes to be another.
+const fading = 3 * Second
+
+// fade is what is left of a sum after a span.
+func fade(span Time) float64 { return math.Exp(-float64(max(0, span)) / float64(fading)) }
+
+// repute sums up sends at a host or a way, faded.
+type repute struct {
+	at           Time
+	n, bad, pace float64
+}
+
+// as is a repute's sums at a later moment.
+func (p repute) as(now Time) repute {
+	f := fade(now - p.at)
+	return repute{now, p.n * f, p.bad * f, p.pace * f}
+}
+
+func (p *repute) add(x repute) {
+	y := p.as(max(x.at, p.at))
+	*p = repute{y.at, y.n + x.n, y.bad + x.bad, y.pace + x.pace}
+}
+
+// rush sums up a category's sends: how many are out, and of those answered their usual and their real times.
+type rush struct {
+	at              Time
+	out, work, took float64
+}
+
+func (p rush) as(now Time) rush {
+	f := fade(now - p.at)
+	return rush{now, p.out * f, p.work * f, p.took * f}
+}
+
+func (p *rush) add(x rush) {
+	y := p.as(max(x.at, p.at))
+	*p = rush{y.at, y.out + x.out, y.work + x.work, y.took + x.took}
+}
+
+// digest is what one router tells another.
+type digest struct {
+	stands *Host // one near the sender, if any
+	way    repute
+	rushes []rush
+	hosts  []*Host
+	hops   []int
+	words  []repute
+}
+
+// worst keeps so many words, those with most bad first.
+func (d *digest) worst(many int) {
+	order := make([]int, len(d.words))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(i, j int) int {
+		a, b := d.words[i], d.words[j]
+		if c := cmp.Compare(b.bad, a.bad); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.n, a.n)
+	})
+	order = order[:min(many, len(order))]
+	hosts, hops, words := d.hosts, d.hops, d.words
+	d.hosts, d.hops, d.words = nil, nil, nil
+	for _, i := range order {
+		d.hosts, d.hops, d.words = append(d.hosts, hosts[i]), append(d.hops, hops[i]), append(d.words, words[i])
+	}
+}
+
+const (
+	kindDigest, kindBlame = 1, 2
+	headBytes, rushBytes  = 8, 5
+	wordBytes             = 8
+	grain                 = 8.0  // counts are told in eighths
+	paceGrain             = 16.0 // paces in sixteenths
+	spell                 = 100  // sums of times in hundredths of a second
+)
+
+func small(x float64) byte { return byte(math.Round(max(0, min(255, x)))) }
+
+func (d digest) pack(most int) []byte {
+	b := []byte{kindDigest, byte(len(d.rushes))}
+	id := uint32(0)
+	if d.stands != nil {
+		id = d.stands.ID
+	}
+	b = binary.LittleEndian.AppendUint32(b, id)
+	b = append(b, small(d.way.n*grain), small(d.way.bad*grain))
+	for _, x := range d.rushes {
+		b = append(b, small(x.out))
+		b = binary.LittleEndian.AppendUint16(b, uint16(min(math.MaxUint16, x.work/spell)))
+		b = binary.LittleEndian.AppendUint16(b, uint16(min(math.MaxUint16, x.took/spell)))
+	}
+	for i, h := range d.hosts {
+		if len(b)+wordBytes > most {
+			break
+		}
+		w := d.words[i]
+		b = binary.LittleEndian.AppendUint32(b, h.ID)
+		b = append(b, byte(d.hops[i]), small(w.n*grain), small(w.bad*grain), small(w.pace/max(0.01, w.n)*paceGrain))
+	}
+	return b
+}
+
+// unpack reads a digest; what is not one to the last byte is none at all. Hosts that are not listed are left out.
+func (r *Router) unpack(b []byte) (d digest, ok bool) {
+	if len(b) < headBytes || b[0] != kindDigest || int(b[1]) != len(r.cats) ||
+		len(b) < headBytes+rushBytes*len(r.cats) || (len(b)-headBytes-rushBytes*len(r.cats))%wordBytes != 0 {
+		return d, false
+	}
+	d.stands = r.named(binary.LittleEndian.Uint32(b[2:]))
+	d.way = repute{at: r.now, n: float64(b[6]) / grain, bad: min(float64(b[6]), float64(b[7])) / grain}
+	b = b[headBytes:]
+	for range r.cats {
+		d.rushes = append(d.rushes, rush{r.now, float64(b[0]), float64(binary.LittleEndian.Uint16(b[1:])) * spell,
+			float64(binary.LittleEndian.Uint16(b[3:])) * spell})
+		b = b[rushBytes:]
+	}
+	for ; len(b) > 0; b = b[wordBytes:] {
+		h, n := r.named(binary.LittleEndian.Uint32(b)), float64(b[5])/grain
+		if h == nil || b[4] > 1 {
+			continue
+		}
+		d.hosts, d.hops = append(d.hosts, h), append(d.hops, int(b[4]))
+		d.words = append(d.words, repute{r.now, n, min(n, float64(b[6])/grain), n * float64(b[7]) / paceGrain})
+	}
+	return d, true
+}
+
+// named is the listed host of an id, or nil.
+func (r *Router) named(id uint32) *Host {
+	at, ok := slices.BinarySearchFunc(r.hosts, id, func(h *Host, id uint32) int { return int(h.ID) - int(id) })
+	if !ok {
+		return nil
+	}
+	return r.hosts[at]
+}
+
+func packBlame(build, n int) []byte {
+	return append(binary.LittleEndian.AppendUint16([]byte{kindBlame}, uint16(build)), byte(min(255, n)))
+}
+
+func unpackBlame(b []byte) (build, n int, ok bool) {
+	if len(b) != 4 || b[0] != kindBlame {
+		return 0, 0, false
+	}
+	return int(binary.LittleEndian.Uint16(b[1:])), int(b[3]), true
+}
+
+// rumour is what peers tell of a host, each word weighed.
+func (h *Host) rumour(now Time, first, second float64) repute {
+	a, b := h.words[1].as(now), h.words[2].as(now)
+	return repute{now, first*a.n + second*b.n, first*a.bad + second*b.bad, first*a.pace + second*b.pace}
+}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -90,7 +90,7 @@
 		r.hosts = slices.Insert(r.hosts, at, h)
 	}
 	if h.Up != l.Up || h.Build != l.Build { // another process: what the last one did says nothing of it
-		h.past, h.health, h.load = nil, fit, nil
+		h.past, h.health, h.load, h.words = nil, fit, nil, [3]repute{}
 	}
 	if h.Standing == Serving && l.Standing != Serving {
 		h.left = r.now
@@ -132,6 +132,7 @@
 	if h.health == fit && r.old(h) {
 		r.muster.out[r.side(h)]++
 	}
+	t.Category.out++
 	h.sent = keep(h.sent, moment{at: r.now, cat: t.Category}, 256)
 	if r.old(h) {
 		r.flow = keep(r.flow, moment{at: r.now, cat: t.Category}, 8192)
@@ -144,6 +145,11 @@
 // close notes the end of a send.
 func (r *Router) close(s *Send, fate Fate, load *Load) {
 	s.fate = fate
+	c := s.Task.Category
+	c.out--
+	if fate == Finished {
+		c.seen.add(rush{at: r.now, work: float64(c.mid), took: float64(r.now - s.at)})
+	}
 	was := len(s.Host.open)
 	s.Host.open = slices.DeleteFunc(s.Host.open, func(x *Send) bool { return x == s })
 	if s.Host.health == fit && r.old(s.Host) {
@@ -159,6 +165,11 @@
 	}
 	x := moment{at: r.now, cat: s.Task.Category, side: r.side(s.Host), fate: fate,
 		late: r.now-s.Task.at > s.Task.Category.Promised}
+	way := repute{at: r.now, n: 1}
+	if x.late || fate == NoAnswer || fate == NoLink || fate == Cut {
+		way.bad = 1
+	}
+	r.ways[x.side].add(way)
 	if fate == Finished {
 		x.work = x.cat.mid
 	}
@@ -205,22 +216,29 @@
 		hasty: s.fate == NoAnswer && s.Task.Patience < s.Task.Category.Promised, held: s.held,
 		strain: float64(took) / float64(s.Task.Category.mid)}
 	x.pace = x.strain / (1 + r.crowd*s.held)
+	w := repute{at: r.now, n: 1, pace: min(x.strain, 8)} // one very long send says little
+	if s.fate != Finished {
+		w.bad = 1
+	}
+	s.Host.words[0].add(w)
 	if s.up == 0 {
 		x.age = math.MaxInt32
 	}
 	return x
 }
 
-// ails is a host's share of failed sends and its mean strain, as if over least sends or more.
-func (h *Host) ails(least int) (share, strain float64) {
+// ails is a host's share of failed sends and its mean strain, as if over least sends or more, with what peers
+// tell of it and sends that seem stuck.
+func (r *Router) ails(h *Host, least int) (share, strain float64) {
 	for _, p := range h.past {
 		if p.fate != Finished {
 			share++
 		}
 		strain += p.strain
 	}
-	n := float64(max(len(h.past), least))
-	return share / n, strain / n
+	w := h.rumour(r.now, firsthand, passedOn)
+	n := max(float64(len(h.past))+w.n, float64(least))
+	return (share + w.bad) / n, (strain + w.pace) / n
 }
 
 // before is the latest earlier build that some sends are known of, if any.
@@ -516,8 +534,9 @@
 // peersAil is how the other hosts of a host's build do.
 func (r *Router) peersAil(h *Host, least int) (shares, strains []float64) {
 	for _, p := range r.hosts {
-		if p != h && p.Build == h.Build && p.Standing == Serving && len(p.past) > 2 {
-			s, d := p.ails(least)
+		if p != h && p.Build == h.Build && p.Standing == Serving &&
+			float64(len(p.past))+p.rumour(r.now, firsthand, passedOn).n > 2 {
+			s, d := r.ails(p, least)
 			shares, strains = append(shares, s), append(strains, d)
 		}
 	}
@@ -604,6 +623,14 @@
 	r.step(t, ends)
 }
 
+// Probed takes in what a probe found.
+func (r *Router) Probed(now Time, h *Host, fate Fate, took Time, load *Load) {
+	r.now = now
+	if load != nil {
+		h.load, h.loadAt = load, now
+	}
+}
+
 // Began says that a send's answer has started to stream.
 func (r *Router) Began(now Time, s *Send) { r.now, s.began = now, true }
 
@@ -619,13 +646,32 @@
 		}
 	}
 	c.warm /= max(1, float64(c.hosts))
+	if len(r.counts) == 0 || r.counts[len(r.counts)-1].at != now {
+		r.laden = 0 // what hosts hold: how much comes by how long it takes
+	}
+	if r.desk.Counted > 0 && c.Over > 0 {
+		serve := r.count(func(h *Host) bool { return h.Standing == Serving })
+		r.laden += float64(c.Samples) / r.desk.Counted / float64(c.Over) * float64(c.Mean) / max(1, serve)
+	}
 	r.counts = keep(r.counts, c, 200)
 }
 
+// sendsAt is how many sends at a build the desk counted.
+func (r *Router) sendsAt(build int) (n float64) {
+	for _, x := range r.counts {
+		if x.Build == build {
+			n += float64(x.Samples)
+		}
+	}
+	return n
+}
+
 // Complained takes in that a client found an answer wrong.
 func (r *Router) Complained(now Time, h *Host, c *Category, age Time) {
 	r.now = now
 	if b := r.book(h.Build); h.Up <= now-age {
+		r.blames[b.build]++
+		r.unsaid[b.build]++
 		b.wrong = keep(b.wrong, sample{at: now, host: h, cat: c}, 240)
 	}
 }
@@ -746,7 +792,7 @@
 	for _, row := range healths {
 		if row.state == h.health && row.input == in {
 			if h.health == sick {
-				h.past = h.past[len(h.past)-1:]
+				h.past = h.past[max(0, len(h.past)-1):] // none, where peers alone told of it
 			}
 			h.health, h.until = row.next, r.now+row.rest
 			r.muster.counted = false
@@ -807,6 +853,8 @@
 			pace, n = pace+p.pace, n+1
 		}
 	}
+	w := h.rumour(r.now, firsthand, passedOn)
+	pace, n = pace+w.pace, n+w.n
 	for _, s := range h.open {
 		usual := float64(s.Task.Category.mid) * (1 + r.crowd*s.held)
 		if x := float64(r.now-s.at) / usual; x > 2 {
@@ -832,6 +880,24 @@
 	return sum
 }
 
+// able is what a host can do against others: its size, as far as the list hints at it, and as it warms.
+func (r *Router) able(h *Host) float64 {
+	if h.Size <= 0 {
+		return r.strength(h)
+	}
+	return h.Size * r.strength(h)
+}
+
+// allAble adds up what the hosts of a kind that serve can do.
+func (r *Router) allAble(is func(*Host) bool) (sum float64) {
+	for _, h := range r.hosts {
+		if h.Standing == Serving && is(h) {
+			sum += r.able(h)
+		}
+	}
+	return sum
+}
+
 // warm tells hosts that have been up for long enough to do all they can.
 func (r *Router) warm(h *Host) bool { return h.Up == 0 || r.now-h.Up >= r.limits.Cold }
 
--- a/logic/types.go
+++ b/logic/types.go
@@ -40,6 +40,9 @@
 	mid  Time      // what it usually takes at a host that holds nothing else
 	odds float64   // that the build on trial fails it
 	calm Time      // mid when the build on trial was first told
+	out  int       // sends that are out
+	seen rush      // what became of own sends lately
+	told rush      // and of peers', as they told
 }
 
 // Customer is whoever pays for a task.
@@ -80,8 +83,9 @@
 	past   []sample
 	load   *Load
 	loadAt Time
-	linkAt Time    // when a send over a link to it last ended
-	part   float64 // of the tasks of its side, as a plan has it; in a unit that all share
+	linkAt Time      // when a send over a link to it last ended
+	words  [3]repute // own, told by who met the host, and passed on once
+	part   float64   // of the tasks of its side, as a plan has it; in a unit that all share
 }
 
 // Listing is what the host list says of one host; whoever calls turns lists into changes.
@@ -255,6 +259,9 @@
 	TwoAtOnce   bool
 	LongestStay Time // that a turn-back may name as a time to come back; 0 for none
 	Pushed      bool // the host list comes by itself
+	Peers       int  // most bytes of a message to another router; 0 where there are none
+	Probes      bool // hosts may be probed
+	ByProbe     bool // load reports come with probes alone
 	CrossPrice  float64
 	WastePrice  float64
 	OverShare   float64
@@ -269,8 +276,13 @@
 	WatchHosts()
 	Vote(build, stage int, voice Voice)
 	Note(text string)
+	Tell(peer int, body []byte) // peer is a rank, or Everyone
+	Probe(h *Host)
 }
 
+// Everyone stands for the ranks of all peers.
+const Everyone = -1
+
 // Alarm is a call that the router asked for.
 type Alarm struct {
 	send *Send
@@ -370,6 +382,14 @@
 	here    []*Host // scratch for choices among hosts, so that these take no memory
 	there   []*Host
 	known   []*Host
+	laden   float64   // what a host holds, as the desk counted last
+	ways    [2]repute // sends of the sides lately, own and told by those nearby
+	fellows []int     // peers nearby that were heard last
+	voices  float64   // peers heard lately, faded
+	heardAt Time
+	toldAt  Time
+	blames  map[int]int // complaints by build, of all routers
+	unsaid  map[int]int // and own ones that no peer has been told
 }
 
 // muster is what hosts add up to, kept as sends come and go and counted anew once hosts or news have changed.
--- a/router/events.go
+++ b/router/events.go
@@ -61,6 +61,18 @@
 	}
 	// Due is an alarm that an Alarm action asked for.
 	Due struct{ Alarm int64 }
+	// Probed is what a probe of a host found.
+	Probed struct {
+		Host uint32
+		Fate logic.Fate
+		Took logic.Time
+		Load *logic.Load
+	}
+	// Heard is a message from another router, by its rank.
+	Heard struct {
+		Peer int
+		Body string
+	}
 	// Planned is a version of shares worked out ahead. A Heed action tells whether it is followed.
 	Planned struct{ Offer plan.Offered }
 )
@@ -75,6 +87,8 @@
 func (Counted) event()    {}
 func (Complained) event() {}
 func (Due) event()        {}
+func (Probed) event()     {}
+func (Heard) event()      {}
 func (Planned) event()    {}
 
 // Host is one line of the host list. ID must be the same at all routers, as they take turns by it.
@@ -99,6 +113,8 @@
 	Watch                // ask for the host list and its changes
 	Vote                 // Voice on Build at Stage
 	Note                 // Text, for the log
+	Tell                 // send Body to the router of rank Peer, or to all for logic.Everyone
+	Probe                // probe Host
 	Heed                 // the plan of this Number is followed, or turned down for the reason in Text
 )
 
@@ -115,6 +131,8 @@
 	Voice  logic.Voice
 	Text   string
 	Number uint64
+	Peer   int
+	Body   string
 	Copied bool // a Send beside another one, or alone, for judging the build on trial
 }
 
--- a/router/planned_test.go
+++ b/router/planned_test.go
@@ -44,7 +44,7 @@
 	now := 1000 * logic.Second
 	r, _ := router.New(now, router.Place{Seed: 1, Routers: 1, Location: "north", Categories: []router.Category{{Name: "quote", Promised: 4000, Earnings: 1}},
 		Limits: logic.Limits{Grace: logic.Second, Cold: 4 * logic.Second, ColdShare: .3, Tip: 3, TipFor: 2 * logic.Second, AskWithin: 1000 * logic.Second,
-			MaxSends: 4, TwoAtOnce: true, CrossPrice: .02},
+			MaxSends: 4, TwoAtOnce: true, CrossPrice: .05},
 		Desk: logic.Desk{Caps: []float64{.05, 1}, ToMoveOn: 1, ToAbort: 1, VoteLife: logic.Second, Window: logic.Second, Free: 1}})
 	host := func(id uint32, place string) router.Host {
 		return router.Host{ID: id, Location: place, Build: 1, Size: 1}
--- a/router/router.go
+++ b/router/router.go
@@ -99,6 +99,12 @@
 			r.news = e.News
 		}
 		r.mind.Told(now, e.News)
+	case Probed:
+		if h := r.hosts[e.Host]; h != nil {
+			r.mind.Probed(now, h.noun, e.Fate, e.Took, e.Load)
+		}
+	case Heard:
+		r.mind.Heard(now, e.Peer, []byte(e.Body))
 	case Planned:
 		r.planned(now, e.Offer)
 	case Counted:
@@ -263,3 +269,7 @@
 }
 
 func (r *hands) Note(text string) { r.act(Action{Do: Note, Text: text}) }
+
+func (r *hands) Tell(peer int, body []byte) { r.act(Action{Do: Tell, Peer: peer, Body: string(body)}) }
+
+func (r *hands) Probe(h *logic.Host) { r.act(Action{Do: Probe, Host: h.ID}) }
