--- a/logic/logic.go
+++ b/logic/logic.go
@@ -166,6 +166,13 @@
 	return a
 }
 
+// way is what is known of the way to the rest, own sends and what those nearby told of theirs.
+func (r *Router) way() *repute {
+	w := r.toldWay
+	w.add(r.ways[far].as(r.now))
+	return &w
+}
+
 // together tells that hosts are drawn wherever they stand: where crossing costs less than an uneven split of
 // traffic or hosts over locations does, which a router with little traffic can't see. Not while the way there
 // is poor: of the last sends there far more failed or dragged than of those nearby.
@@ -175,15 +182,20 @@
 	if r.limits.CrossPrice > cheap {
 		return false
 	}
-	there, here := r.ways[far].as(r.now), r.ways[near].as(r.now)
+	there, here := r.way().as(r.now), r.ways[near].as(r.now)
 	return there.bad < few || there.bad/there.n < here.bad/max(1, here.n)+gap
 }
 
 // lot draws a host by what it can do, as the list hints at it and as it warms, or the first of a draw by the
 // parts of a plan that holds. The other stays drawn so, that a plan that has become wrong is corrected by how
-// busy the two are. Most routers meet a host too seldom to learn its speed.
+// busy the two are. Most routers meet a host too seldom to learn its speed: what peers tell of it counts here,
+// where it moves shares, and not between the two, or all routers would take the same one at once.
 func (r *Router) lot(from []*Host, first bool) *Host {
-	of := r.able
+	const doubt = 4 // usual sends
+	of := func(h *Host) float64 {
+		w := h.rumour(r.now, firsthand, passedOn)
+		return r.able(h) / max(1, (doubt+w.pace)/(doubt+w.n))
+	}
 	if first && r.now < r.course.Until && slices.ContainsFunc(from, func(h *Host) bool { return h.part > 0 }) {
 		of = func(h *Host) float64 { return h.part }
 	}
@@ -419,8 +431,8 @@
 	case r.limits.TwoAtOnce && how != copied:
 		r.hands.WakeUp(lingersAt, &Alarm{send: s})
 	case r.limits.TwoAtOnce || len(t.Sends) >= r.limits.MaxSends:
-	case how == lone: // one after the other: a lone copy leaves its original the time to answer
-		within = min(within, max(lingersAt, t.Category.Promised/3))
+	case how == lone: // one after the other: a lone copy leaves its original the time to answer; a cold host is slow
+		within = min(within, Time(float64(max(lingersAt, t.Category.Promised/3))/r.strength(h)))
 	case t.at+t.Category.Promised-r.now-t.Category.mid > lingersAt && r.spare():
 		within = min(within, lingersAt)
 	}
@@ -527,7 +539,9 @@
 	if s.fate == Finished && r.old(h) {
 		c.took = keep(c.took, took, 64)
 		c.work = keep(c.work, float64(took)/(1+r.crowd*s.held), 64)
-		c.mid = max(1, Time(above(c.work, 0.5)*4/3)) // the middle and more, for the tail: slow hosts weigh little
+		if !r.counting() || len(r.counts) == 0 { // the middle and more, for the tail: slow hosts weigh little
+			c.mid = max(1, Time(above(c.work, 0.5)*4/3))
+		}
 		r.recent = keep(r.recent, x, 200)
 	}
 	h.past = append(h.past, x)
@@ -658,7 +672,7 @@
 	if !slices.Contains(r.fellows, peer) {
 		r.fellows = keep(r.fellows, peer, known)
 	}
-	r.ways[far].add(d.way)
+	r.toldWay.add(d.way)
 	for i, h := range d.hosts {
 		h.words[d.hops[i]+1].add(d.words[i])
 		if h.health == fit && r.failing(h) {
@@ -694,6 +708,9 @@
 	hosts := len(fresh)
 	if r.byDesk() {
 		gap, n, of, on := countedGap(counts[0], counts[1])
+		if calm, m := calmer(r.counts, r.before(r.news.Build, 20).build, r.news.Build, r.offered, r.offered, 0); m > 0 {
+			gap = min(gap, calm) // a trial that takes most of the traffic leaves the earlier hosts idle
+		}
 		fresh, usual, hosts = []float64{gap}, []float64{0}, on
 		a, b = differ*differ/max(1, float64(on))+scatter/max(0.01, n), scatter/max(0.01, of)
 	}
@@ -778,6 +795,13 @@
 		return s.fate != NoAnswer || warm(s) && !s.hasty && r.news.Phase == OnTrial
 	}
 	counts := r.heardOf(now.build, before.build)
+	calm := map[*Category]float64{} // share that the earlier build failed before the trial, under all its load
+	for _, c := range r.cats {
+		bad, n, _ := counted(pickCounts(r.counts, func(x Count) bool {
+			return x.Build == before.build && x.at <= r.offered
+		}), c)
+		calm[c] = part{bad: bad, n: n}.share(part{0.5, 1 / floor, 0}, kin)
+	}
 	sum, shares := 0.0, 0.0
 	add := func(share, guilt, doubt float64) {
 		sum, shares, doubts = sum+share*guilt, shares+share, append(doubts, doubt)
@@ -791,6 +815,9 @@
 				some, hosts := matched(fresh, peers, is, but, stray, while, kin)
 				if r.byDesk() { // which does not tell hosts apart: this router's own copies do
 					some, hosts = paired(counts[0], counts[1], c, kin), hosts+1
+					for i := range some { // nor those of the earlier build idle
+						some[i].usual = max(some[i].usual, calm[c])
+					}
 				}
 				parts, most = append(parts, some...), max(most, hosts)
 			}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -241,8 +241,19 @@
 	return (share + w.bad) / n, (strain + w.pace) / n
 }
 
-// before is the latest earlier build that some sends are known of, if any.
+// before is the latest earlier build that some sends are known of, if any; where the desk's counts are judged, by
+// these: a router of hundreds has a few sends of its own.
 func (r *Router) before(build, sends int) (last *book) {
+	if r.counting() {
+		for _, x := range r.counts {
+			if x.Build < build && (last == nil || x.Build > last.build) && r.sendsAt(x.Build) > float64(sends) {
+				last = r.book(x.Build)
+			}
+		}
+	}
+	if last != nil {
+		return last
+	}
 	for _, b := range r.books {
 		if b.build < build && len(b.samples) > sends && (last == nil || b.build > last.build) {
 			last = b
@@ -277,7 +288,7 @@
 	for _, x := range now {
 		y, good := beside(x, before), float64(x.Samples-x.Bad)
 		if hosts = x.hosts; good > 0 && x.Mean > 0 && y.Mean > 0 {
-			gap += good * math.Log(float64(x.Mean)/float64(y.Mean))
+			gap += good * (math.Log(float64(x.Mean)/float64(y.Mean)) - x.cold + y.cold)
 			n, of = n+good, of+float64(y.Samples-y.Bad)
 		}
 	}
@@ -296,7 +307,7 @@
 			}
 		}
 		if good := float64(x.Samples - x.Bad); sum > 0 && took > 0 {
-			gap, n = gap+good*math.Log(float64(x.Mean)*sum/took), n+good
+			gap, n = gap+good*(math.Log(float64(x.Mean)*sum/took)-x.cold), n+good
 		}
 	}
 	return gap/max(1, n) - less, n
@@ -636,16 +647,19 @@
 
 // Counted takes in what the desk counted, with how many hosts ran the build and how many were warm by then.
 func (r *Router) Counted(now Time, c Count) {
+	cold := 0.0
 	r.now, c.at = now, now
 	for _, h := range r.hosts {
 		if h.Build == c.Build && h.Standing == Serving {
 			c.hosts++
+			cold += r.strengthAt(h, now-c.Age-c.Over/2)
 			if now-c.Age-c.Over-h.Up > r.limits.Cold {
 				c.warm++
 			}
 		}
 	}
 	c.warm /= max(1, float64(c.hosts))
+	c.cold = math.Log(max(1, float64(c.hosts)) / max(r.limits.ColdShare, cold))
 	if len(r.counts) == 0 || r.counts[len(r.counts)-1].at != now {
 		r.laden = 0 // what hosts hold: how much comes by how long it takes
 	}
@@ -654,6 +668,25 @@
 		r.laden += float64(c.Samples) / r.desk.Counted / float64(c.Over) * float64(c.Mean) / max(1, serve)
 	}
 	r.counts = keep(r.counts, c, 200)
+	if on, _, _ := r.trial(c.Build); r.counting() && !on {
+		r.reckon(c.Category)
+	}
+}
+
+// reckon sets what a category usually takes by the calmer of the desk's last periods: hundreds of routers have
+// too few sends of their own to tell, and were apart by ten times.
+func (r *Router) reckon(c *Category) {
+	const periods, few, calm = 8, 10, 0.8
+	var means []Time
+	for i := len(r.counts) - 1; i >= 0 && len(means) < periods; i-- {
+		x := r.counts[i]
+		if on, _, _ := r.trial(x.Build); !on && x.Category == c && x.Samples-x.Bad >= few {
+			means = append(means, x.Mean)
+		}
+	}
+	if len(means) > 0 {
+		c.mid = max(1, above(means, calm))
+	}
 }
 
 // sendsAt is how many sends at a build the desk counted.
@@ -853,8 +886,6 @@
 			pace, n = pace+p.pace, n+1
 		}
 	}
-	w := h.rumour(r.now, firsthand, passedOn)
-	pace, n = pace+w.pace, n+w.n
 	for _, s := range h.open {
 		usual := float64(s.Task.Category.mid) * (1 + r.crowd*s.held)
 		if x := float64(r.now-s.at) / usual; x > 2 {
@@ -903,10 +934,14 @@
 
 // strength is the share of its capacity that a host has at the least, as it warms.
 func (r *Router) strength(h *Host) float64 {
-	if r.warm(h) {
+	return r.strengthAt(h, r.now)
+}
+
+func (r *Router) strengthAt(h *Host, at Time) float64 {
+	if h.Up == 0 || at-h.Up >= r.limits.Cold {
 		return 1
 	}
-	return r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, r.now-h.Up))/float64(r.limits.Cold)
+	return r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, at-h.Up))/float64(r.limits.Cold)
 }
 
 // lately are the hosts that have answered since, so that a link to them is up; until it is asked for again.
--- a/logic/types.go
+++ b/logic/types.go
@@ -203,6 +203,7 @@
 	at    Time
 	hosts int     // that ran the build when the count came
 	warm  float64 // share of them that were warm when its span began
+	cold  float64 // log of how much longer they take for the cold, at the most
 }
 
 // Voice is what a vote says.
@@ -383,7 +384,8 @@
 	there   []*Host
 	known   []*Host
 	laden   float64   // what a host holds, as the desk counted last
-	ways    [2]repute // sends of the sides lately, own and told by those nearby
+	ways    [2]repute // own sends of the sides lately
+	toldWay repute    // of the far side, told by those nearby
 	fellows []int     // peers nearby that were heard last
 	voices  float64   // peers heard lately, faded
 	heardAt Time
