--- a/logic/logic.go
+++ b/logic/logic.go
@@ -381,6 +381,7 @@
 func (r *Router) tooLate(t *Task, h *Host) bool {
 	const high, low, beyond = 1.0, 0.8, 0.5 // of the promised time: the tail is longer than the mean
 	const last, firm, least = 30, 1.0, 0.4  // of the last answers: as many as come late, the sooner
+	const begin, end = 0.4, 0.8             // of the limit: what hundreds know alike they must not all do at once
 	limit, better := high, 0
 	for _, c := range r.cats {
 		if c.Earnings*float64(t.Category.mid) > t.Category.Earnings*float64(c.mid) {
@@ -394,11 +395,12 @@
 		limit *= beyond
 	}
 	limit *= max(least, 1-firm*r.share(last, func(x moment) bool { return x.late }))
-	jam := r.jam(r.side(h))
-	if r.limits.Peers > 0 {
-		jam = r.rushed(t.Category)
+	limit *= float64(min(t.Category.Promised, t.Patience))
+	if r.limits.Peers == 0 {
+		return r.jam(r.side(h))*float64(t.Category.mid) > limit
 	}
-	return jam*float64(t.Category.mid) > limit*float64(min(t.Category.Promised, t.Patience))
+	took := r.rushed(t.Category) * float64(t.Category.mid)
+	return float64(r.chance(1000)) < 1000*(took/limit-begin)/(end-begin)
 }
 
 // rushed is the jam of one category, as this router and its peers see it together: one alone of hundreds holds
@@ -407,18 +409,34 @@
 	const few, luck, lag = 10, 0.5, 3.0 // usual answers to lean on; as in a jam seen alone
 	out, hosts := 0.0, float64(r.standing().well[near]+r.standing().well[far])
 	for _, x := range r.cats {
-		out += float64(x.out) + x.told.as(r.now).out
+		out += r.waits(x) + x.told.as(r.now).out
 	}
 	if out*float64(r.routers)/(1+r.voices*fade(r.now-r.heardAt)) <= hosts {
 		return 0
 	}
 	own, told, lean := c.seen.as(r.now), c.told.as(r.now), few*float64(c.mid)
 	work, took := own.work+told.work+lean, own.took+told.took+lean
-	out = float64(c.out) + told.out
+	out = r.waits(c) + told.out
 	out = max(0, out-luck*math.Sqrt(out))
 	return min((out*float64(fading)+lean)/work, lag*took/work)
 }
 
+// waits is how many sends of a category are out at hosts that do well, over ways that do: a cut is no jam.
+func (r *Router) waits(c *Category) (n float64) {
+	both := r.together()
+	for _, h := range r.hosts {
+		if h.health != fit || !both && r.side(h) == far {
+			continue
+		}
+		for _, s := range h.open {
+			if s.Task.Category == c {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (r *Router) send(t *Task, h *Host, how role) {
 	s := r.enlist(t, h, how)
 	within, slowest := t.at+t.Patience-r.now, t.Category.Promised/2
@@ -433,18 +451,35 @@
 	case r.limits.TwoAtOnce || len(t.Sends) >= r.limits.MaxSends:
 	case how == lone: // one after the other: a lone copy leaves its original the time to answer; a cold host is slow
 		within = min(within, Time(float64(max(lingersAt, t.Category.Promised/3))/r.strength(h)))
-	case t.at+t.Category.Promised-r.now-t.Category.mid > lingersAt && r.spare():
+	case t.at+t.Category.Promised-r.now-t.Category.mid > lingersAt && r.spare(t.Category):
 		within = min(within, lingersAt)
 	}
 	r.hands.Send(s, within)
 }
 
-// spare tells whether the budget has room for a further send, so that a slow fleet is not given more work.
-func (r *Router) spare() bool {
+// spare tells whether the budget has room for a further send, so that a slow fleet is not given more work. The
+// few beyond the share are for a fleet of few routers: each of hundreds would add them.
+func (r *Router) spare(c *Category) bool {
 	const over, few, oneIn = 5 * Second, 4, 8 // one for every eight tasks taken lately, and a few
+	const alone = 4.0                         // routers that each may have them
 	const full = 3                            // times longer than usual: for want of hosts, not by bad luck
-	owed := few + since(r.taken, r.now-over, nil)/oneIn
-	return min(r.jam(near), r.jam(far)) < full && since(r.extra, r.now-over, nil) < owed
+	owed := few*min(1, alone/float64(r.routers)) + since(r.taken, r.now-over, nil)/oneIn
+	return r.strained(c) < full && since(r.extra, r.now-over, nil) < owed
+}
+
+// strained is how jammed the side is that is the less so, of those that have hosts.
+func (r *Router) strained(c *Category) float64 {
+	if r.limits.Peers > 0 {
+		return r.rushed(c)
+	}
+	m := r.standing()
+	switch {
+	case m.well[near] == 0:
+		return r.jam(far)
+	case m.well[far] == 0:
+		return r.jam(near)
+	}
+	return min(r.jam(near), r.jam(far))
 }
 
 // more sends a task once more where that is allowed, affordable and can still be in time. What follows a lone
@@ -453,7 +488,7 @@
 	left := t.at + t.Patience - r.now
 	last := t.Sends[len(t.Sends)-1]
 	first := last.role == lone || last.fate == NoAnswer && !r.limits.TwoAtOnce // this router cut it short
-	if len(t.Sends) >= r.limits.MaxSends || left < t.Category.mid/2 || !first && !r.spare() {
+	if len(t.Sends) >= r.limits.MaxSends || left < t.Category.mid/2 || !first && !r.spare(t.Category) {
 		return false
 	}
 	h := r.earlier(t)
@@ -620,7 +655,7 @@
 	d := digest{way: r.ways[far].as(r.now)}
 	for _, c := range r.cats {
 		x := c.seen.as(r.now)
-		x.out = float64(c.out)
+		x.out = r.waits(c)
 		d.rushes = append(d.rushes, x)
 	}
 	for _, h := range r.hosts {
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -132,7 +132,6 @@
 	if h.health == fit && r.old(h) {
 		r.muster.out[r.side(h)]++
 	}
-	t.Category.out++
 	h.sent = keep(h.sent, moment{at: r.now, cat: t.Category}, 256)
 	if r.old(h) {
 		r.flow = keep(r.flow, moment{at: r.now, cat: t.Category}, 8192)
@@ -146,7 +145,6 @@
 func (r *Router) close(s *Send, fate Fate, load *Load) {
 	s.fate = fate
 	c := s.Task.Category
-	c.out--
 	if fate == Finished {
 		c.seen.add(rush{at: r.now, work: float64(c.mid), took: float64(r.now - s.at)})
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -40,7 +40,6 @@
 	mid  Time      // what it usually takes at a host that holds nothing else
 	odds float64   // that the build on trial fails it
 	calm Time      // mid when the build on trial was first told
-	out  int       // sends that are out
 	seen rush      // what became of own sends lately
 	told rush      // and of peers', as they told
 }
