A cold host on trial is due an earlier host's share; shares are those of all peers

Dropped: short time-outs (0.9 s for all), slowness of the build (its served sends were as quick as the rest).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -97,7 +97,7 @@
 		return false
 	}
 	due := since(r.taken, r.now-flowOver, nil) * float64(r.limits.TipFor) / float64(flowOver) *
-		r.able(h) / max(r.able(h), r.allAble(func(x *Host) bool { return r.old(x) == r.old(h) }))
+		r.able(h) / max(r.able(h), r.allAble(r.old)) // on trial too, where shares are those of earlier hosts
 	return due <= budget || float64(r.chance(1000)) < 1000*budget/due
 }
 
@@ -173,11 +173,12 @@
 	return &w
 }
 
+const cheap = 0.02 // points of service, of a way: near sends alone lost five times that
+
 // together tells that hosts are drawn wherever they stand: where crossing costs less than an uneven split of
 // traffic or hosts over locations does, which a router with little traffic can't see. Not while the way there
 // is poor: of the last sends there far more failed or dragged than of those nearby.
 func (r *Router) together() bool {
-	const cheap = 0.02 // points of service: near sends alone lost five times that
 	const few, gap = 1.5, 0.3
 	if r.limits.CrossPrice > cheap {
 		return false
@@ -294,7 +295,8 @@
 		r.routers <= few && r.count(func(h *Host) bool { return r.runs(h) && r.side(h) == near }) == 0
 	by := func(h *Host) bool { return any || r.side(h) == near }
 	on := func(h *Host) bool { return r.runs(h) && by(h) }
-	peer := func(h *Host) bool { return r.old(h) && by(h) }
+	// Where others cross, those nearby alone say little of what a host gets.
+	peer := func(h *Host) bool { return r.old(h) && (by(h) || r.limits.CrossPrice <= cheap) }
 	each := part * since(r.taken, r.now-lately, nil) / max(1, r.allAble(peer))
 	due := max(min(least, all/float64(r.routers)), each*r.allAble(on))
 	if c.Repeat != Retriable && r.desk.HarmPrice*fails*c.odds >= r.desk.DelayPrice {
