--- a/logic/logic.go
+++ b/logic/logic.go
@@ -396,7 +396,7 @@
 	if c := t.Customer; c != nil && since(c.taken, r.now-2*Second, nil) > 2.4*c.PerSecond/float64(r.routers) {
 		limit *= beyond
 	}
-	limit *= max(least, 1-firm*r.share(last, func(x moment) bool { return x.late }))
+	limit *= max(least, 1-firm*r.lateOf(t.Category, last))
 	limit *= float64(min(t.Category.Promised, t.Patience))
 	if r.limits.Peers == 0 {
 		return r.jam(r.side(h))*float64(t.Category.mid) > limit
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -213,6 +213,9 @@
 	x := sample{at: r.now, took: took, age: s.at - s.up, host: s.Host, cat: s.Task.Category, fate: s.fate,
 		hasty: s.fate == NoAnswer && s.Task.Patience < s.Task.Category.Promised, held: s.held,
 		strain: float64(took) / float64(s.Task.Category.mid)}
+	if r.limits.Peers > 0 { // where a category waits everywhere no host is to blame
+		x.strain /= r.drags(s.Task.Category)
+	}
 	x.pace = x.strain / (1 + r.crowd*s.held)
 	w := repute{at: r.now, n: 1, pace: min(x.strain, 8)} // one very long send says little
 	if s.fate != Finished {
@@ -665,19 +668,18 @@
 		serve := r.count(func(h *Host) bool { return h.Standing == Serving })
 		r.laden += float64(c.Samples) / r.desk.Counted / float64(c.Over) * float64(c.Mean) / max(1, serve)
 	}
-	r.counts = keep(r.counts, c, 200)
+	r.counts = keep(r.counts, c, 240)
 	if on, _, _ := r.trial(c.Build); r.counting() && !on {
 		r.reckon(c.Category)
 	}
 }
 
-// reckon sets what a category usually takes by the calmer of the desk's last periods: hundreds of routers have
-// too few sends of their own to tell, and were apart by ten times.
+// reckon sets what a category usually takes by the calmest of the desk's periods kept: hundreds of routers have
+// too few sends of their own to tell, and were apart by ten times; and a category that waits long is not usual.
 func (r *Router) reckon(c *Category) {
-	const periods, few, calm = 8, 10, 0.8
+	const few, calm = 10, 0.85
 	var means []Time
-	for i := len(r.counts) - 1; i >= 0 && len(means) < periods; i-- {
-		x := r.counts[i]
+	for _, x := range r.counts {
 		if on, _, _ := r.trial(x.Build); !on && x.Category == c && x.Samples-x.Bad >= few {
 			means = append(means, x.Mean)
 		}
@@ -687,6 +689,30 @@
 	}
 }
 
+// drags is how much longer than usual a category's answers take everywhere, by own ones and what peers told.
+func (r *Router) drags(c *Category) float64 {
+	lean := 5 * float64(c.mid)
+	own, told := c.seen.as(r.now), c.told.as(r.now)
+	return max(1, (own.took+told.took+lean)/(own.work+told.work+lean))
+}
+
+// lateOf is how many of the last ended sends of a category were late; where hundreds of routers see few, those of
+// others are taken to be in time.
+func (r *Router) lateOf(c *Category, last int) float64 {
+	if r.limits.Peers == 0 {
+		return r.share(last, func(x moment) bool { return x.late })
+	}
+	late, n := 0.0, float64(last)/3
+	for _, x := range r.done[max(0, len(r.done)-last):] {
+		if x.cat == c {
+			if n++; x.late {
+				late++
+			}
+		}
+	}
+	return late / n
+}
+
 // sendsAt is how many sends at a build the desk counted.
 func (r *Router) sendsAt(build int) (n float64) {
 	for _, x := range r.counts {
