--- a/logic/logic.go
+++ b/logic/logic.go
@@ -294,7 +294,11 @@
 	any := r.together() ||
 		r.routers <= few && r.count(func(h *Host) bool { return r.runs(h) && r.side(h) == near }) == 0
 	by := func(h *Host) bool { return any || r.side(h) == near }
-	on := func(h *Host) bool { return r.runs(h) && by(h) }
+	here := func(h *Host) bool { return r.runs(h) && by(h) }
+	on := here
+	if well := func(h *Host) bool { return here(h) && h.health != sick }; r.counting() && r.count(well) > 0 {
+		on = well // the desk tells no host from a build: a sick one's failures would be the build's
+	}
 	// Where others cross, those nearby alone say little of what a host gets.
 	peer := func(h *Host) bool { return r.old(h) && (by(h) || r.limits.CrossPrice <= cheap) }
 	each := part * since(r.taken, r.now-lately, nil) / max(1, r.allAble(peer))
