--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,6 +36,7 @@
 		r.hangs()
 		r.relents()
 		r.gossip()
+		r.scout()
 		r.judge()
 		r.hands.WakeUp(judgeEvery, a)
 	case a.send.fate == Out && !a.send.began:
@@ -156,6 +157,9 @@
 		return best
 	}
 	a, b := draw(here), draw(there)
+	if a != nil && r.limits.CrossPrice <= cheap {
+		return a // the way is poor: what may be lost there costs more than a wait
+	}
 	price := r.limits.CrossPrice * float64(25+r.chance(50)) / 100 // in a band, lest all cross at once
 	if a != nil && b != nil && r.crosses() && r.misses(t, far)-r.misses(t, near) <= price {
 		return b // as planned, as it is not much worse
@@ -722,6 +726,18 @@
 	}
 }
 
+// scout probes a host far away now and then while the way there is poor, so that no task need try whether it
+// still is; what comes of it is told like a send. A probe waits for no answer longer than a way that does well takes.
+func (r *Router) scout() {
+	const oneIn = 20 // looks: with what those nearby tell, enough to keep the way shut and to find it open
+	if !r.limits.Probes || r.limits.CrossPrice > cheap || r.together() || r.chance(oneIn) > 0 {
+		return
+	}
+	if _, there := r.parted(func(h *Host) bool { return h.health == fit }); len(there) > 0 {
+		r.hands.Probe(there[r.chance(len(there))])
+	}
+}
+
 // relents lets a sick host be tried again once what spoke against it has faded, where peers watch it too: the
 // trickle of one router in hundreds would not find it well for minutes.
 func (r *Router) relents() {
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -635,9 +635,14 @@
 	r.step(t, ends)
 }
 
-// Probed takes in what a probe found.
-func (r *Router) Probed(now Time, h *Host, fate Fate, took Time, load *Load) {
+// Probed takes in what a probe found: of the way, and what the host reports.
+func (r *Router) Probed(now Time, h *Host, fate Fate, _ Time, load *Load) {
 	r.now = now
+	way := repute{at: now, n: 1}
+	if fate != Finished {
+		way.bad = 1
+	}
+	r.ways[r.side(h)].add(way)
 	if load != nil {
 		h.load, h.loadAt = load, now
 	}
