Settings change in a running router, there and back; peers by UDP, probes by HTTP, recorded

SIGHUP reads the file anew; a mistake or a change that a running router can't make is named and changes nothing. Sections [peers] and [probes], register's pushed: off by default, so the present behaviour stays. The event stands in the decision records.

--- a/cmd/dapplefront/router.go
+++ b/cmd/dapplefront/router.go
@@ -18,7 +18,8 @@
 func routerCommand(log logging) *cobra.Command {
 	return &cobra.Command{Use: "router FILE", Short: "Run a router by a file of settings", Args: cobra.ExactArgs(1),
 		Long: "Run a router by a file of settings (docs/operate-router.md). SIGTERM or an interrupt drains: no new tasks, those\n" +
-			"held get their answer, then it ends with 0. A second signal ends it at once with 1.",
+			"held get their answer, then it ends with 0. A second signal ends it at once with 1. SIGHUP reads the file anew; one with\n" +
+			"a mistake, or with a change that a running router can't make, changes nothing (docs/migration.md).",
 		RunE: func(_ *cobra.Command, args []string) error {
 			l, err := log("info")
 			if err != nil {
@@ -34,7 +35,25 @@
 			if err != nil {
 				return err
 			}
-			l.Info("draining", "signal", (<-signals).String(), "at most", c.Drain)
+			anew := make(chan os.Signal, 1)
+			signal.Notify(anew, syscall.SIGHUP)
+			var sign os.Signal
+			for sign == nil {
+				select {
+				case <-anew:
+					next, err := charter.Read(args[0])
+					if err == nil {
+						err = i.Settle(next)
+					}
+					if err != nil {
+						l.Error("settings are not changed", "file", args[0], "error", err)
+					} else {
+						c = next
+					}
+				case sign = <-signals:
+				}
+			}
+			l.Info("draining", "signal", sign.String(), "at most", c.Drain)
 			cut := make(chan struct{})
 			go func() { <-signals; close(cut) }()
 			if left := i.Drain(c.Drain, cut); left > 0 {
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -3,6 +3,10 @@
 package charter
 
 import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +16,7 @@
 	"dapplefront/internal/http1"
 	"dapplefront/internal/keys"
 	"dapplefront/internal/loop"
+	"dapplefront/internal/peers"
 	"dapplefront/internal/sheet"
 	"dapplefront/logic"
 	"dapplefront/record"
@@ -31,6 +36,14 @@
 	Register Register
 	Desk     Desk
 	Records  *record.Shelf // nil for none
+	Peers    *peers.Circle // nil for none
+	Probe    Probe
+}
+
+// Probe is how hosts are probed.
+type Probe struct {
+	Path   string
+	Within time.Duration
 }
 
 // Register is where the host list is.
@@ -87,6 +100,7 @@
 	c.Register = Register{Address: p.Address("address", "!"), Names: p.List("names", "!"),
 		Changes: p.OneOf("ask", "changes", "changes", "whole") == "changes"}
 	askWithin := p.Span("ask-within", "10s")
+	pushed := p.Switch("pushed", "off")
 
 	p = s.Part("rules")
 	c.Place.Limits = logic.Limits{Grace: loop.Span(p.Span("grace", "2s")), Cold: loop.Span(p.Span("cold", "5s")),
@@ -97,6 +111,29 @@
 		CrossPrice:  p.Number("cross-price", "0.02", 0, 1), WastePrice: p.Number("waste-price", "0.03", 0, 1),
 		OverShare: p.Share("over-share", "10%")}
 
+	c.Place.Limits.Pushed = pushed
+	if p = s.Part("probes"); p.Has() {
+		c.Place.Limits.Probes = true
+		c.Probe = Probe{Path: p.Text("path", "!"), Within: p.Span("within", "250ms")}
+		if !strings.HasPrefix(c.Probe.Path, "/") || strings.ContainsAny(c.Probe.Path, " \t") {
+			p.Wrong("path", "path = %s: a path such as /probe expected", c.Probe.Path)
+		}
+		if c.Probe.Within <= 0 {
+			p.Wrong("within", "within: more than no time expected")
+		}
+	}
+	if p = s.Part("peers"); p.Has() {
+		c.Peers = &peers.Circle{Rank: c.Place.Rank, Most: p.Whole("most", "256", 32, 1200), Addresses: p.List("addresses", "!")}
+		c.Place.Limits.Peers = c.Peers.Most
+		if n := len(c.Peers.Addresses); n != c.Place.Routers {
+			p.Wrong("addresses", "addresses: one for each of the %d routers expected, by rank; there are %d", c.Place.Routers, n)
+		}
+		for i, a := range c.Peers.Addresses {
+			if _, err := netip.ParseAddrPort(a); err != nil || slices.Contains(c.Peers.Addresses[:i], a) {
+				p.Wrong("addresses", "addresses: %s: a numeric address and port of its own expected", a)
+			}
+		}
+	}
 	if p = s.Part("records"); p.Has() {
 		c.Records = &record.Shelf{Dir: p.Text("folder", "!"), Name: c.Name, Size: int64(p.Bytes("size", "64MiB")), Age: p.Span("age", "1h"),
 			Most: int64(p.Bytes("most", "1GiB"))}
@@ -171,3 +208,27 @@
 		}
 	}
 }
+
+// Changes tells whether a running router can go over to another charter: each thing that can't change in one is an
+// error by its section. What may: routers and rank, all of [rules], [desk] but its way there, [peers], [probes], the
+// register's pushed and ask-within, promised time, earnings and late share of categories, customers' shares.
+func (c *Charter) Changes(to *Charter) error {
+	var all []error
+	fixed := func(what string, a, b any) {
+		if !reflect.DeepEqual(a, b) {
+			all = append(all, fmt.Errorf("%s can't change in a running router", what))
+		}
+	}
+	fixed("[router] name", c.Name, to.Name)
+	fixed("[router] listen", c.Listen, to.Listen)
+	fixed("[router] last-list", c.LastList, to.LastList)
+	fixed("[router] seed", c.Place.Seed, to.Place.Seed)
+	fixed("[clients], paths, patience and networks", c.Welcome, to.Welcome)
+	fixed("[clients] held", c.Held, to.Held)
+	fixed("[hosts]", c.Reach, to.Reach)
+	fixed("[register] address, names and ask", c.Register, to.Register)
+	fixed("[desk] url, certificate, key and authority", []any{c.Desk.URLs, c.Desk.Keys}, []any{to.Desk.URLs, to.Desk.Keys})
+	fixed("[desk] vote-timeout", c.Place.Desk.VoteTimeout, to.Place.Desk.VoteTimeout)
+	fixed("[records]", c.Records, to.Records)
+	return errors.Join(append(all, c.Place.Settles(to.Place))...)
+}
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -82,6 +82,7 @@
 	Crossed  float64 // share of the sends that reached another location than their router's
 	Planned  *PlanTimes
 	Releases []api.ReleaseObject
+	Settled  int    // changes of settings in running routers
 	Killed   [2]int // controllers ended while the day was played, and of them those that led
 }
 
@@ -122,6 +123,7 @@
 	wait     sync.WaitGroup
 	mu       sync.Mutex
 	stages   []StageScore
+	settled  int
 }
 
 // seat is one router's place; its instance changes with restarts.
@@ -163,7 +165,7 @@
 	r.Scores, r.Times = s.clients.Scores()
 	r.Stages = s.stages
 	r.Planned = planned
-	r.Killed = s.desk.killed()
+	r.Killed, r.Settled = s.desk.killed(), s.settled
 	s.desk.ask(func(ctx context.Context) (err error) {
 		r.Releases, err = s.desk.client.List(ctx, nil, "")
 		return err
--- a/internal/day/plan.go
+++ b/internal/day/plan.go
@@ -85,6 +85,7 @@
 	{name: "desk-still", text: "the desk stands still; votes go unanswered, though some count", lasts: [2]float64{.15, .4}},
 	{name: "desk-late", text: "the desk's news is late", size: [2]float64{2, 6}, lasts: [2]float64{.4, .8}},
 	{name: "restarts", text: "routers are killed in batches and come back with nothing but their last list", share: [2]float64{.25, .5}, lasts: [2]float64{.3, .6}},
+	{name: "switch", text: "routers go over to other settings, with probes, peers and no copies at once, and back", lasts: [2]float64{.3, .5}},
 	{name: "stand-still", text: "routers stand still for a moment", share: [2]float64{.25, .5}, size: [2]float64{.1, .4}, lasts: [2]float64{.3, .5}},
 }
 
--- a/internal/day/troubles.go
+++ b/internal/day/troubles.go
@@ -140,6 +140,8 @@
 		lasting(func() { s.desk.Lateness(time.Duration(t.Size * float64(time.Second))) }, func() { s.desk.Lateness(0) })
 	case "restarts":
 		s.restarts(ctx, t)
+	case "switch":
+		s.switchOver(ctx, t)
 	case "stand-still":
 		for end := time.Now().Add(t.For); time.Now().Before(end); {
 			for _, x := range s.some(t.Share) {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -88,7 +88,6 @@
 		place.Limits.Peers = message
 	}
 	place.Limits.Probes = p.Bool("Permissions.Probes")
-	place.Limits.ByProbe = p["Report.How"] == "on_probe"
 	if p.Bool("Permissions.RetryAfter") {
 		place.Limits.LongestStay = span(p.Int("Permissions.MaxRetryAfterUs"))
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
+	"reflect"
 	"strconv"
+	"sync"
 	"time"
 
 	"dapplefront/internal/api"
@@ -19,6 +22,7 @@
 	"dapplefront/internal/http1"
 	"dapplefront/internal/keys"
 	"dapplefront/internal/loop"
+	"dapplefront/internal/peers"
 	"dapplefront/internal/register"
 	"dapplefront/internal/sock"
 	"dapplefront/logic"
@@ -50,6 +54,8 @@
 	address  net.Addr
 	bend     Bend
 	records  *record.Writer // nil for none
+	peers    *peers.Socket  // nil for none
+	turning  sync.Mutex     // one change of settings at a time
 
 	tasks  map[string]*held
 	hosts  map[uint32]register.Host
@@ -129,7 +135,17 @@
 			return nil, fmt.Errorf("router %s: %w", c.Name, err)
 		}
 	}
-	go i.keepLists()
+	if i.peers, err = i.meet(c); err != nil {
+		_ = listener.Close()
+		i.engine.Stop()
+		i.far.Stop()
+		i.register.Close()
+		if i.records != nil {
+			i.noted(i.records.Close())
+		}
+		return nil, fmt.Errorf("router %s: %w", c.Name, err)
+	}
+	go i.keepLists(c.LastList)
 	i.loop.Do(func() { i.begin() })
 	i.desk = desk.Open(c.Desk.URLs, c.Name, c.Place.Location, secure, loop.Duration(c.Place.Desk.VoteTimeout), desk.Hear{
 		Release:   i.told,
@@ -166,6 +182,67 @@
 		}
 	}
 	i.act(actions)
+	if place.Limits.Pushed { // the module waits for the list; the stream that it comes by must be opened all the same
+		i.register.Ask()
+	}
+}
+
+// meet opens the way to peers that a charter names; nil for none.
+func (i *Instance) meet(c *charter.Charter) (*peers.Socket, error) {
+	if c.Peers == nil {
+		return nil, nil
+	}
+	return peers.Open(*c.Peers, func(rank int, body string) { i.tell(router.Heard{Peer: rank, Body: body}) })
+}
+
+// Settle goes over to another charter while the router runs. Either all of it holds from one event to the next, or
+// the error names what can't be and nothing has changed. Tasks held go on; nothing is sent anew for it.
+func (i *Instance) Settle(c *charter.Charter) error {
+	i.turning.Lock()
+	defer i.turning.Unlock()
+	if err := i.charter.Changes(c); err != nil {
+		return err
+	}
+	same := reflect.DeepEqual(i.charter.Peers, c.Peers)
+	next := i.peers
+	if !same {
+		if i.peers != nil {
+			i.peers.Close() // a message meanwhile is lost, as any may be; one address takes one socket
+		}
+		var err error
+		if next, err = i.meet(c); err != nil {
+			again, _ := i.meet(i.charter)
+			i.loop.Do(func() { i.peers = again })
+			return err
+		}
+	}
+	var refused error
+	if !i.loop.Do(func() {
+		if refused = i.settled(c.Place); refused == nil {
+			i.charter, i.peers = c, next
+		}
+	}) {
+		refused = errors.New("the router has ended")
+	}
+	if refused != nil && !same && next != nil {
+		next.Close()
+	}
+	if refused == nil {
+		i.log.Info("settings changed", "routers", c.Place.Routers, "peers", c.Peers != nil, "probes", c.Place.Limits.Probes)
+	}
+	return refused
+}
+
+// settled hands other settings to the mind as one event.
+func (i *Instance) settled(p router.Place) error {
+	e := router.Settled{Place: p}
+	now := i.loop.Now()
+	actions, err := i.mind.Hear(now, e, nil)
+	if i.records != nil {
+		i.noted(i.records.Heard(now, e, actions))
+	}
+	i.act(actions)
+	return err
 }
 
 // Address is where the router listens.
@@ -220,6 +297,12 @@
 	i.far.Stop()
 	i.register.Close()
 	i.desk.Close()
+	i.turning.Lock()
+	if i.peers != nil {
+		i.peers.Close()
+		i.peers = nil
+	}
+	i.turning.Unlock()
 	close(i.keep)
 	<-i.kept
 	if i.records != nil {
@@ -311,18 +394,20 @@
 }
 
 // keepLists writes the last list, away from the loop.
-func (i *Instance) keepLists() {
+func (i *Instance) keepLists(file string) {
 	defer close(i.kept)
 	for hosts := range i.keep {
-		if err := register.Keep(i.charter.LastList, hosts); err != nil {
+		if err := register.Keep(file, hosts); err != nil {
 			i.log.Warn("the last list is not kept", "error", err)
 		}
 	}
 }
 
 func (i *Instance) counted(c api.Counts) {
-	i.tell(router.Counted{Build: c.Build, Category: c.Category, Bad: c.Bad, Samples: c.Samples,
-		Mean: logic.Time(c.MeanMs * 10), Age: logic.Time(c.AgeMs) * 10, Over: loop.Span(i.charter.Desk.Over)})
+	i.loop.Post(func() {
+		i.hear(router.Counted{Build: c.Build, Category: c.Category, Bad: c.Bad, Samples: c.Samples,
+			Mean: logic.Time(c.MeanMs * 10), Age: logic.Time(c.AgeMs) * 10, Over: loop.Span(i.charter.Desk.Over)})
+	})
 }
 
 func (i *Instance) told(n logic.News) {
@@ -453,6 +538,12 @@
 		case router.Vote:
 			i.log.Info("vote", "build", a.Build, "stage", a.Stage, "voice", api.Voices[a.Voice])
 			i.desk.Vote(a.Build, a.Stage, a.Voice, func(n logic.News) { i.tell(router.Told{News: n}) })
+		case router.Tell:
+			if i.peers != nil {
+				i.peers.Tell(a.Peer, a.Body)
+			}
+		case router.Probe:
+			i.probe(a.Host)
 		case router.Heed:
 			if a.Text != "" {
 				i.log.Warn("a plan is turned down", "version", a.Number, "reason", a.Text)
@@ -464,6 +555,21 @@
 	}
 }
 
+// probe asks a host how it does by a small request, and hears what came of it as of no task.
+func (i *Instance) probe(host uint32) {
+	p := i.charter.Probe
+	if p.Path == "" {
+		return
+	}
+	head := "GET " + p.Path + " HTTP/1.1\r\nHost: " + i.address.String() + "\r\nDapplefront-Router: " + i.charter.Name + "\r\n\r\n"
+	i.pool.Send(host, []byte(head), nil, false, loop.Span(p.Within), func(r back.Result) {
+		if r.Answer != nil {
+			r.Answer.Drop()
+		}
+		i.hear(router.Probed{Host: host, Fate: r.Fate, Took: r.Took, Load: r.Load})
+	})
+}
+
 func (i *Instance) refuse(h *held, a router.Action) {
 	h.owed = false
 	if a.Do == router.TurnBack {
--- /dev/null
+++ b/internal/instance/settle_test.go
@@ -0,0 +1,165 @@
+package instance
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"dapplefront/internal/charter"
+	"dapplefront/internal/sheet"
+	"dapplefront/logic"
+	"dapplefront/router"
+)
+
+// other is the rig's charter with changes to its text.
+func (r *rig) other(extra string, change ...string) *charter.Charter {
+	text := fmt.Sprintf(rules, r.charter.LastList, r.register.Address(), r.desk.URL(), extra)
+	text = strings.NewReplacer(change...).Replace(text)
+	s := sheet.Parse("other", text)
+	c := charter.From(s)
+	require.NoError(r, s.Done())
+	return c
+}
+
+func TestSettingsChangeUnderLoadWithBindingTasksInFlightAndBack(t *testing.T) {
+	var ran atomic.Int64
+	h := host(t, 1, 1, func(x exchange) bool {
+		if x.URL.Path == "/transfer" {
+			ran.Add(1)
+			time.Sleep(5 * time.Millisecond)
+		}
+		return right(x)
+	})
+	r := newRig(t, "", h)
+	first := r.charter
+	port, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	own := port.LocalAddr().String()
+	_ = port.Close()
+	there := r.other("two-at-once = off\n[probes]\npath = /probe\n[peers]\naddresses = "+own+"\n", "promised = 300ms", "promised = 350ms")
+	const clients, each = 6, 60
+	outcomes := make(chan string, clients*each)
+	var moved atomic.Int64 // binding tasks that finished
+	for range clients {
+		go func() {
+			c := r.client()
+			for n := range each {
+				c.ask([]string{"/transfer", "/quote"}[n%2], "")
+				got, err := http.ReadResponse(c.in, nil)
+				if err != nil {
+					outcomes <- err.Error()
+					continue
+				}
+				_, _ = io.Copy(io.Discard, got.Body)
+				if got.Header.Get("Dapplefront-Outcome") == "finished" && n%2 == 0 {
+					moved.Add(1)
+				}
+				outcomes <- got.Header.Get("Dapplefront-Outcome")
+			}
+		}()
+	}
+	for range 10 {
+		require.NoError(t, r.router.Settle(there))
+		time.Sleep(5 * time.Millisecond)
+		require.NoError(t, r.router.Settle(first))
+		time.Sleep(5 * time.Millisecond)
+	}
+	for range clients * each {
+		require.Contains(t, []string{"finished", "turned-back"}, <-outcomes) // each has one answer
+	}
+	r.idle()
+	require.EqualValues(t, moved.Load(), ran.Load(), "each binding task that finished ran once, others never")
+	require.Positive(t, moved.Load())
+	require.NoError(t, r.router.Settle(there))
+	r.router.loop.Do(func() {
+		require.NotNil(t, r.router.peers)
+		require.False(t, r.router.charter.Place.Limits.TwoAtOnce)
+	})
+	require.NoError(t, r.router.Settle(first))
+	r.router.loop.Do(func() { require.Nil(t, r.router.peers) })
+}
+
+func TestWhatARunningRouterCantChangeIsNamedAndChangesNothing(t *testing.T) {
+	r := newRig(t, "", host(t, 1, 1, right))
+	first := r.charter
+	err := r.router.Settle(r.other("two-at-once = off", "location = here", "location = there",
+		"repeat = binding", "repeat = retriable", "connect = 250ms", "connect = 300ms"))
+	for _, what := range []string{"location", "category transfer", "[hosts]"} {
+		require.ErrorContains(t, err, what)
+	}
+	taken, err := net.ListenPacket("udp", "127.0.0.1:0") // an address that another has
+	require.NoError(t, err)
+	defer taken.Close()
+	err = r.router.Settle(r.other("[peers]\naddresses = " + taken.LocalAddr().String()))
+	require.ErrorContains(t, err, "peers")
+	require.Same(t, first, r.router.charter)
+	r.router.loop.Do(func() { require.Nil(t, r.router.peers) })
+	c := r.client()
+	c.ask("/quote", "")
+	_, outcome, _ := c.read()
+	require.Equal(t, "finished", outcome)
+}
+
+func TestPeersAndProbesAreCarriedAndStrangersAreNot(t *testing.T) {
+	probed := make(chan string, 8)
+	h := host(t, 1, 1, func(x exchange) bool {
+		if x.Method == "GET" {
+			probed <- x.URL.Path
+			x.answer(200, "", `Endpoint-Load-Metrics: TEXT named_metrics.active=3`)
+			return true
+		}
+		return right(x)
+	})
+	r := newRig(t, "", h)
+	a, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	own := a.LocalAddr().String()
+	_ = a.Close()
+	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer peer.Close()
+	require.NoError(t, r.router.Settle(r.other("[probes]\npath = /probe\n[peers]\naddresses = "+own+", "+peer.LocalAddr().String(),
+		"name = r\n", "name = r\nrouters = 2\n")))
+	r.router.loop.Do(func() {
+		r.router.act([]router.Action{{Do: router.Probe, Host: 1}, {Do: router.Tell, Peer: logic.Everyone, Body: "word"}})
+	})
+	require.Equal(t, "/probe", <-probed)
+	b := make([]byte, 300)
+	_ = peer.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for string(b[:4]) != "word" { // the module's own messages may come first
+		_, _, err = peer.ReadFrom(b)
+		require.NoError(t, err)
+	}
+	to, err := net.ResolveUDPAddr("udp", own)
+	require.NoError(t, err)
+	for _, body := range []string{"", "nonsense", strings.Repeat("x", 256), strings.Repeat("x", 300)} {
+		_, err = peer.WriteTo([]byte(body), to)
+		require.NoError(t, err)
+	}
+	c := r.client()
+	c.ask("/quote", "")
+	_, outcome, _ := c.read()
+	require.Equal(t, "finished", outcome, "words that can't be read bring no fault")
+}
+
+func TestMistakesInTheNewSectionsAreNamed(t *testing.T) {
+	s := sheet.Parse("f", fmt.Sprintf(rules, "l", "127.0.0.1:1", "http://127.0.0.1:2", `
+[probes]
+path = probe
+[peers]
+addresses = here:1, 127.0.0.1:5
+most = 9
+`))
+	charter.From(s)
+	err := s.Done()
+	for _, what := range []string{"path = probe", "one for each of the 1 routers", "here:1", "most = 9", "f:"} {
+		require.ErrorContains(t, err, what)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,90 @@
+// Package peers carries short messages between routers: one UDP datagram each, to and from listed addresses only. A
+// datagram may be lost, late or doubled; whoever hears it must make nothing of that.
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+)
+
+// Everyone stands for all other routers.
+const Everyone = -1
+
+// Circle is what a router is told of its peers.
+type Circle struct {
+	Rank      int
+	Most      int      // bytes of a message
+	Addresses []string // of all routers, by rank
+}
+
+// Socket is one router's end.
+type Socket struct {
+	circle  Circle
+	conn    *net.UDPConn
+	all     []netip.AddrPort
+	dropped atomic.Uint64 // from strangers, or too long
+	ended   chan struct{}
+}
+
+// Open listens at the own address and hands each message from a listed router to hear, with its rank.
+func Open(c Circle, hear func(rank int, body string)) (*Socket, error) {
+	s := &Socket{circle: c, ended: make(chan struct{})}
+	for _, a := range c.Addresses {
+		at, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return nil, fmt.Errorf("peers: address %q: a numeric IP address and a port expected", a)
+		}
+		s.all = append(s.all, at)
+	}
+	if c.Rank < 0 || c.Rank >= len(s.all) {
+		return nil, fmt.Errorf("peers: no address for rank %d", c.Rank)
+	}
+	var err error
+	if s.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.all[c.Rank])); err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	go s.listen(hear)
+	return s, nil
+}
+
+func (s *Socket) listen(hear func(rank int, body string)) {
+	defer close(s.ended)
+	b := make([]byte, s.circle.Most+1)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		rank := slices.Index(s.all, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		if err != nil || rank < 0 || rank == s.circle.Rank || n > s.circle.Most {
+			s.dropped.Add(1)
+			continue
+		}
+		hear(rank, string(b[:n]))
+	}
+}
+
+// Tell sends a message to one router or to all others. What can't be sent is lost, as on the way.
+func (s *Socket) Tell(rank int, body string) {
+	if len(body) > s.circle.Most {
+		return
+	}
+	for i, at := range s.all {
+		if i != s.circle.Rank && (rank == Everyone || rank == i) {
+			_, _ = s.conn.WriteToUDPAddrPort([]byte(body), at)
+		}
+	}
+}
+
+// Dropped is how many messages came from strangers or were too long.
+func (s *Socket) Dropped() uint64 { return s.dropped.Load() }
+
+// Close ends it; nothing is heard after.
+func (s *Socket) Close() {
+	_ = s.conn.Close()
+	<-s.ended
+}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -1016,3 +1016,13 @@
 	was, of, _ := counted(pickCounts(r.counts, func(x Count) bool { return x.Build == before }), c)
 	return spoken(odds([]part{{bad, n, max(floor, (was+0.5)/(of+1))}}, gaps...), hosts)
 }
+
+// Settled takes over other settings while the router runs; what was sent and seen before counts on.
+func (r *Router) Settled(now Time, routers, rank int, l Limits, d Desk) {
+	r.now = now
+	if r.limits.Pushed && !l.Pushed { // from now on the list must be asked for
+		r.hands.WatchHosts()
+	}
+	r.routers, r.rank, r.limits, r.desk = max(1, routers), rank, l, d
+	r.muster.counted = false
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -261,7 +261,6 @@
 	Pushed      bool // the host list comes by itself
 	Peers       int  // most bytes of a message to another router; 0 where there are none
 	Probes      bool // hosts may be probed
-	ByProbe     bool // load reports come with probes alone
 	CrossPrice  float64
 	WastePrice  float64
 	OverShare   float64
--- a/record/wire.go
+++ b/record/wire.go
@@ -72,18 +72,20 @@
 	b.int(2, int64(e.At))
 	switch {
 	case e.Place != nil:
-		p := *e.Place
-		p.Customers = nil
-		for _, c := range e.Place.Customers {
-			c.Name = hide(c.Name)
-			p.Customers = append(p.Customers, c)
-		}
-		text, err := json.Marshal(p)
+		text, err := json.Marshal(veiled(*e.Place, hide))
 		if err != nil {
 			return b, err
 		}
 		b.message(3, func(b *out) { b.text(1, string(text)) })
 	default:
+		if x, ok := e.Event.(router.Settled); ok {
+			text, err := json.Marshal(veiled(x.Place, hide))
+			if err != nil {
+				return b, err
+			}
+			b.message(16, func(b *out) { b.text(1, string(text)) })
+			break
+		}
 		if err := appendEvent(&b, e.Event, hide); err != nil {
 			return b, err
 		}
@@ -94,6 +96,41 @@
 	return b, nil
 }
 
+// veiled is a place whose customers are not named.
+func veiled(p router.Place, hide hidden) router.Place {
+	named := p.Customers
+	p.Customers = nil
+	for _, c := range named {
+		c.Name = hide(c.Name)
+		p.Customers = append(p.Customers, c)
+	}
+	return p
+}
+
+func appendLoad(b *out, field protowire.Number, l *logic.Load) {
+	if l == nil {
+		return
+	}
+	b.message(field, func(b *out) {
+		b.float(1, l.Active)
+		b.float(2, l.Waiting)
+		b.float(3, l.Busy)
+		b.float(4, l.Service)
+		b.float(5, l.Rate)
+	})
+}
+
+func readLoad(b []byte) (*logic.Load, error) {
+	l := &logic.Load{}
+	at := []*float64{&l.Active, &l.Waiting, &l.Busy, &l.Service, &l.Rate}
+	return l, fields(b, func(f field) error {
+		if f.number >= 1 && int(f.number) <= len(at) {
+			*at[f.number-1] = f.float()
+		}
+		return nil
+	})
+}
+
 func appendEvent(b *out, event router.Event, hide hidden) error {
 	switch e := event.(type) {
 	case router.Taken:
@@ -113,15 +150,7 @@
 			b.int(3, int64(e.Fate))
 			b.int(4, int64(e.Took))
 			b.bool(5, e.Done)
-			if l := e.Load; l != nil {
-				b.message(6, func(b *out) {
-					b.float(1, l.Active)
-					b.float(2, l.Waiting)
-					b.float(3, l.Busy)
-					b.float(4, l.Service)
-					b.float(5, l.Rate)
-				})
-			}
+			appendLoad(b, 6, e.Load)
 		})
 	case router.Began:
 		b.message(6, func(b *out) { b.text(1, e.Task); b.int(2, int64(e.Send)) })
@@ -167,6 +196,15 @@
 		b.message(12, func(b *out) { b.number(1, uint64(e.Host)); b.text(2, e.Category); b.int(3, int64(e.Age)) })
 	case router.Due:
 		b.int(13, e.Alarm+1)
+	case router.Heard:
+		b.message(17, func(b *out) { b.int(1, int64(e.Peer)); b.text(2, e.Body) })
+	case router.Probed:
+		b.message(18, func(b *out) {
+			b.number(1, uint64(e.Host))
+			b.int(2, int64(e.Fate))
+			b.int(3, int64(e.Took))
+			appendLoad(b, 4, e.Load)
+		})
 	case router.Planned:
 		b.message(14, func(b *out) {
 			o := e.Offer
@@ -200,6 +238,8 @@
 	b.text(10, a.Text)
 	b.number(11, a.Number)
 	b.bool(12, a.Copied)
+	b.int(13, int64(a.Peer))
+	b.text(14, a.Body)
 }
 
 // field is one that was read.
@@ -299,14 +339,9 @@
 				case 5:
 					x.Done = f.n != 0
 				case 6:
-					x.Load = &logic.Load{}
-					at := []*float64{&x.Load.Active, &x.Load.Waiting, &x.Load.Busy, &x.Load.Service, &x.Load.Rate}
-					return fields(f.bytes, func(f field) error {
-						if f.number >= 1 && int(f.number) <= len(at) {
-							*at[f.number-1] = f.float()
-						}
-						return nil
-					})
+					var err error
+					x.Load, err = readLoad(f.bytes)
+					return err
 				}
 				return nil
 			})
@@ -420,6 +455,45 @@
 			a, err := readAction(f.bytes)
 			e.Actions = append(e.Actions, a)
 			return err
+		case 16:
+			return fields(f.bytes, func(f field) error {
+				if f.number != 1 {
+					return nil
+				}
+				x := router.Settled{}
+				err := json.Unmarshal(f.bytes, &x.Place)
+				e.Event = x
+				return err
+			})
+		case 17:
+			x := router.Heard{}
+			err := fields(f.bytes, func(f field) error {
+				if f.number == 1 {
+					x.Peer = f.int()
+				} else if f.number == 2 {
+					x.Body = f.text()
+				}
+				return nil
+			})
+			e.Event = x
+			return err
+		case 18:
+			x := router.Probed{}
+			err := fields(f.bytes, func(f field) (err error) {
+				switch f.number {
+				case 1:
+					x.Host = uint32(f.n)
+				case 2:
+					x.Fate = logic.Fate(f.int())
+				case 3:
+					x.Took = f.time()
+				case 4:
+					x.Load, err = readLoad(f.bytes)
+				}
+				return err
+			})
+			e.Event = x
+			return err
 		}
 		return nil
 	})
@@ -514,6 +588,10 @@
 			a.Number = f.n
 		case 12:
 			a.Copied = f.n != 0
+		case 13:
+			a.Peer = f.int()
+		case 14:
+			a.Body = f.text()
 		}
 		return nil
 	})
--- a/router/events.go
+++ b/router/events.go
@@ -73,6 +73,8 @@
 		Peer int
 		Body string
 	}
+	// Settled is other settings for a running router, whole. What can't change in one is an error and changes nothing.
+	Settled struct{ Place Place }
 	// Planned is a version of shares worked out ahead. A Heed action tells whether it is followed.
 	Planned struct{ Offer plan.Offered }
 )
@@ -89,6 +91,7 @@
 func (Due) event()        {}
 func (Probed) event()     {}
 func (Heard) event()      {}
+func (Settled) event()    {}
 func (Planned) event()    {}
 
 // Host is one line of the host list. ID must be the same at all routers, as they take turns by it.
--- a/router/router.go
+++ b/router/router.go
@@ -105,6 +105,8 @@
 		}
 	case Heard:
 		r.mind.Heard(now, e.Peer, []byte(e.Body))
+	case Settled:
+		return r.settle(now, e.Place)
 	case Planned:
 		r.planned(now, e.Offer)
 	case Counted:
--- /dev/null
+++ b/router/settle.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"dapplefront/logic"
+)
+
+// settle takes over other settings, between two events: tasks held go on under them, and nothing is sent anew.
+func (r *Router) settle(now logic.Time, p Place) error {
+	if err := r.place.Settles(p); err != nil {
+		return err
+	}
+	for _, c := range p.Categories {
+		noun := r.cats[c.Name]
+		noun.Promised, noun.Earnings, noun.LateShare = c.Promised, c.Earnings, c.LateShare
+	}
+	for _, c := range p.Customers {
+		r.customers[c.Name].PerSecond = c.PerSecond
+	}
+	p.Seed = r.place.Seed // chance goes on as it was
+	r.place = p
+	r.mind.Settled(now, p.Routers, p.Rank, p.Limits, p.Desk)
+	return nil
+}
+
+// Settles tells what in other settings can't change in a running router: every such thing, by name. Its place is what
+// its hosts and tasks were understood by, and what a repeat may do was promised for the tasks that it holds.
+func (p Place) Settles(q Place) error {
+	var all []error
+	if p.Location != q.Location {
+		all = append(all, fmt.Errorf("location: can't change from %q to %q in a running router", p.Location, q.Location))
+	}
+	for _, c := range p.Categories {
+		i := slices.IndexFunc(q.Categories, func(x Category) bool { return x.Name == c.Name })
+		if i < 0 {
+			all = append(all, fmt.Errorf("category %s: can't go in a running router", c.Name))
+		} else if x := q.Categories[i]; x.Repeat != c.Repeat || x.Group != c.Group || x.Memory != c.Memory {
+			all = append(all, fmt.Errorf("category %s: repeat, group and memory can't change in a running router", c.Name))
+		}
+	}
+	for _, c := range q.Categories {
+		if !slices.ContainsFunc(p.Categories, func(x Category) bool { return x.Name == c.Name }) {
+			all = append(all, fmt.Errorf("category %s: can't come in a running router", c.Name))
+		}
+	}
+	same := func(a, b []Customer) {
+		for _, c := range a {
+			if !slices.ContainsFunc(b, func(x Customer) bool { return x.Name == c.Name }) {
+				all = append(all, fmt.Errorf("customer %s: can't come or go in a running router", c.Name))
+			}
+		}
+	}
+	same(p.Customers, q.Customers)
+	same(q.Customers, p.Customers)
+	return errors.Join(all...)
+}
