--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,7 +15,7 @@
 func NewRouter(now Time, p Place, hands Hands) *Router {
 	r := &Router{hands: hands, seed: p.Seed, now: now, born: now, routers: max(1, p.Routers), rank: p.Rank,
 		location: p.Location, cats: p.Categories, limits: p.Limits, desk: p.Desk, kept: map[string]int{},
-		blames: map[int]int{}, unsaid: map[int]int{}, crowd: 0.3} // until there are samples: a fleet that is neither idle nor full
+		blames: map[int]int{}, unsaid: map[int]int{}, crowd: 0.3} // a fleet neither idle nor full, until known
 	for _, c := range r.cats {
 		c.mid = max(1, c.Promised/5) // until something is known
 	}
@@ -170,13 +170,6 @@
 	return a
 }
 
-// way is what is known of the way to the rest, own sends and what those nearby told of theirs.
-func (r *Router) way() *repute {
-	w := r.toldWay
-	w.add(r.ways[far].as(r.now))
-	return &w
-}
-
 const cheap = 0.02 // points of service, of a way: near sends alone lost five times that
 
 // together tells that hosts are drawn wherever they stand: where crossing costs less than an uneven split of
@@ -191,10 +184,11 @@
 	return there.bad < few || there.bad/there.n < here.bad/max(1, here.n)+gap
 }
 
-// lot draws a host by what it can do, as the list hints at it and as it warms, or the first of a draw by the
-// parts of a plan that holds. The other stays drawn so, that a plan that has become wrong is corrected by how
-// busy the two are. Most routers meet a host too seldom to learn its speed: what peers tell of it counts here,
-// where it moves shares, and not between the two, or all routers would take the same one at once.
+// lot draws a host by what it can do, as the list hints at it and as it warms, or the first of a draw by
+// the parts of a plan that holds. The other stays drawn so, that a plan that has become wrong is corrected
+// by how busy the two are. Most routers meet a host too seldom to learn its speed: what peers tell of it
+// counts here, where it moves shares, and not between the two, or all routers would take the same one at
+// once.
 func (r *Router) lot(from []*Host, first bool) *Host {
 	const doubt = 4 // usual sends
 	of := func(h *Host) float64 {
@@ -204,18 +198,7 @@
 	if first && r.now < r.course.Until && slices.ContainsFunc(from, func(h *Host) bool { return h.part > 0 }) {
 		of = func(h *Host) float64 { return h.part }
 	}
-	sum := 0.0
-	for _, h := range from {
-		sum += of(h)
-	}
-	const grain = 1 << 20 // finer than any share that matters
-	at := float64(r.chance(grain)) / grain * sum
-	for _, h := range from {
-		if at -= of(h); at < 0 {
-			return h
-		}
-	}
-	return from[len(from)-1]
+	return r.drawBy(from, of)
 }
 
 // crosses draws whether a task starts far away, as a plan that holds has it.
@@ -281,10 +264,11 @@
 	})
 }
 
-// onTrial picks a host for a copy, or nil where one is not allowed or not wanted. A host on trial is given what
-// one of the earlier build gets, by what it can do: one that fails under load must do so before the release, and
-// what a good build serves early is worth its delay. Categories with an effect follow after the first stages,
-// a few until they have been judged, and then all whose likely harm costs less than the delay of the rest.
+// onTrial picks a host for a copy, or nil where one is not allowed or not wanted. A host on trial is given
+// what one of the earlier build gets, by what it can do: one that fails under load must do so before the
+// release, and what a good build serves early is worth its delay. Categories with an effect follow after
+// the first stages, a few until they have been judged, and then all whose likely harm costs less than the
+// delay of the rest.
 func (r *Router) onTrial(t *Task) *Host {
 	const part, taste = 1.0, 0.25               // of what earlier hosts get; of that, effects not yet judged
 	const cleared, guilty, fails = 0.1, 10, 0.3 // odds; what a bad build fails of a category, more or less
@@ -391,7 +375,7 @@
 func (r *Router) tooLate(t *Task, h *Host) bool {
 	const high, low, beyond = 1.0, 0.8, 0.5 // of the promised time: the tail is longer than the mean
 	const last, firm, least = 30, 1.0, 0.4  // of the last answers: as many as come late, the sooner
-	const begin, end = 0.4, 0.8             // of the limit: what hundreds know alike they must not all do at once
+	const begin, end = 0.4, 0.8             // of the limit: what all know alike not all must do at once
 	limit, better := high, 0
 	for _, c := range r.cats {
 		if c.Earnings*float64(t.Category.mid) > t.Category.Earnings*float64(c.mid) {
@@ -413,8 +397,8 @@
 	return float64(r.chance(1000)) < 1000*(took/limit-begin)/(end-begin)
 }
 
-// rushed is the jam of one category, as this router and its peers see it together: one alone of hundreds holds
-// a send or none, and a category that waits by itself at all hosts is no jam of the others.
+// rushed is the jam of one category, as this router and its peers see it together: one alone of hundreds
+// holds a send or none, and a category that waits by itself at all hosts is no jam of the others.
 func (r *Router) rushed(c *Category) float64 {
 	const few, luck, lag = 10, 0.5, 3.0 // usual answers to lean on; as in a jam seen alone
 	out, hosts := 0.0, float64(r.standing().well[near]+r.standing().well[far])
@@ -431,22 +415,6 @@
 	return min((out*float64(fading)+lean)/work, lag*took/work)
 }
 
-// waits is how many sends of a category are out at hosts that do well, over ways that do: a cut is no jam.
-func (r *Router) waits(c *Category) (n float64) {
-	both := r.together()
-	for _, h := range r.hosts {
-		if h.health != fit || !both && r.side(h) == far {
-			continue
-		}
-		for _, s := range h.open {
-			if s.Task.Category == c {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 func (r *Router) send(t *Task, h *Host, how role) {
 	s := r.enlist(t, h, how)
 	within, slowest := t.at+t.Patience-r.now, t.Category.Promised/2
@@ -459,7 +427,7 @@
 	case r.limits.TwoAtOnce && how != copied:
 		r.hands.WakeUp(lingersAt, &Alarm{send: s})
 	case r.limits.TwoAtOnce || len(t.Sends) >= r.limits.MaxSends:
-	case how == lone: // one after the other: a lone copy leaves its original the time to answer; a cold host is slow
+	case how == lone: // it leaves its original the time to answer; a cold host is slow
 		within = min(within, Time(float64(max(lingersAt, t.Category.Promised/3))/r.strength(h)))
 	case t.at+t.Category.Promised-r.now-t.Category.mid > lingersAt && r.spare(t.Category):
 		within = min(within, lingersAt)
@@ -467,8 +435,8 @@
 	r.hands.Send(s, within)
 }
 
-// spare tells whether the budget has room for a further send, so that a slow fleet is not given more work. The
-// few beyond the share are for a fleet of few routers: each of hundreds would add them.
+// spare tells whether the budget has room for a further send, so that a slow fleet is not given more work.
+// The few beyond the share are for a fleet of few routers: each of hundreds would add them.
 func (r *Router) spare(c *Category) bool {
 	const over, few, oneIn = 5 * Second, 4, 8 // one for every eight tasks taken lately, and a few
 	const alone = 4.0                         // routers that each may have them
@@ -477,21 +445,6 @@
 	return r.strained(c) < full && since(r.extra, r.now-over, nil) < owed
 }
 
-// strained is how jammed the side is that is the less so, of those that have hosts.
-func (r *Router) strained(c *Category) float64 {
-	if r.limits.Peers > 0 {
-		return r.rushed(c)
-	}
-	m := r.standing()
-	switch {
-	case m.well[near] == 0:
-		return r.jam(far)
-	case m.well[far] == 0:
-		return r.jam(near)
-	}
-	return min(r.jam(near), r.jam(far))
-}
-
 // more sends a task once more where that is allowed, affordable and can still be in time. What follows a lone
 // copy, or a send that this router cut short, no budget holds back: it was asked when that one was sent.
 func (r *Router) more(t *Task) bool {
@@ -581,16 +534,8 @@
 		return
 	}
 	x := r.sampled(s, took)
-	if s.fate == Finished && r.old(h) {
-		c.took = keep(c.took, took, 64)
-		c.work = keep(c.work, float64(took)/(1+r.crowd*s.held), 64)
-		if !r.counting() || len(r.counts) == 0 { // the middle and more, for the tail: slow hosts weigh little
-			c.mid = max(1, Time(above(c.work, 0.5)*4/3))
-		}
-		r.recent = keep(r.recent, x, 200)
-	}
-	h.past = append(h.past, x)
-	if len(h.past) > 8 { // enough to tell a slow host, few enough to forget one quickly
+	r.usually(c, s, x)
+	if h.past = append(h.past, x); len(h.past) > 8 { // enough to tell a slow host, few to forget one
 		h.past = h.past[1:]
 	}
 	in := steady
@@ -645,7 +590,7 @@
 
 // ---- Peers ----
 
-const firsthand, passedOn = 0.5, 0.5 // what a peer's word weighs against an own send: others' links are others'
+const firsthand, passedOn = 0.5, 0.5 // of an own send, a peer's word weighs: its links are its own
 
 // gossip tells a peer drawn by chance, nearby where any is known, what was met lately and what peers told of
 // theirs: passed on once, so that no word comes back as new. Where hundreds meet a host once in ten seconds
@@ -656,38 +601,12 @@
 	if r.limits.Peers == 0 || r.routers < 2 || r.chance(oneIn) > 0 {
 		return
 	}
-	for _, b := range r.books {
-		if n := r.unsaid[b.build]; n > 0 {
-			r.hands.Tell(Everyone, packBlame(b.build, n))
-			delete(r.unsaid, b.build)
-		}
-	}
-	d := digest{way: r.ways[far].as(r.now)}
-	for _, c := range r.cats {
-		x := c.seen.as(r.now)
-		x.out = r.waits(c)
-		d.rushes = append(d.rushes, x)
-	}
-	for _, h := range r.hosts {
-		if d.stands == nil && r.side(h) == near {
-			d.stands = h
-		}
-		for hop := range 2 {
-			w := h.words[hop].as(r.now)
-			if hop == 0 {
-				n := float64(h.stuck(r.now, tardy))
-				w.n, w.bad = w.n+n, w.bad+n
-			}
-			if w.n > least {
-				d.hosts, d.hops, d.words = append(d.hosts, h), append(d.hops, hop), append(d.words, w)
-			}
-		}
+	for _, blame := range r.unsaidBlames() {
+		r.hands.Tell(Everyone, blame)
 	}
+	d := r.lore(least)
 	d.worst(many)
-	peer := r.chance(r.routers - 1)
-	if peer >= r.rank {
-		peer++
-	}
+	peer := (r.rank + 1 + r.chance(r.routers-1)) % r.routers
 	if len(r.fellows) > 0 && r.chance(kin) > 0 {
 		peer = r.fellows[r.chance(len(r.fellows))]
 	}
@@ -707,27 +626,22 @@
 	if !ok || peer == r.rank {
 		return
 	}
-	r.voices, r.heardAt = 1+r.voices*fade(now-r.heardAt), now
-	for i, c := range r.cats {
-		c.told.add(d.rushes[i])
-	}
-	if d.stands == nil || r.side(d.stands) != near {
+	if r.crowdTold(d); d.stands == nil || r.side(d.stands) != near {
 		return
 	}
 	if !slices.Contains(r.fellows, peer) {
 		r.fellows = keep(r.fellows, peer, known)
 	}
-	r.toldWay.add(d.way)
-	for i, h := range d.hosts {
-		h.words[d.hops[i]+1].add(d.words[i])
+	for _, h := range r.hostsTold(d) {
 		if h.health == fit && r.failing(h) {
 			r.move(h, fails)
 		}
 	}
 }
 
-// scout probes a host far away now and then while the way there is poor, so that no task need try whether it
-// still is; what comes of it is told like a send. A probe waits for no answer longer than a way that does well takes.
+// scout probes a host far away now and then while the way there is poor, so that no task need try whether
+// it still is; what comes of it is told like a send. A probe waits for no answer longer than a way that
+// does well takes.
 func (r *Router) scout() {
 	const oneIn = 20 // looks: with what those nearby tell, enough to keep the way shut and to find it open
 	if !r.limits.Probes || r.limits.CrossPrice > cheap || r.together() || r.chance(oneIn) > 0 {
@@ -765,7 +679,8 @@
 	hosts := len(fresh)
 	if r.byDesk() {
 		gap, n, of, on := countedGap(counts[0], counts[1])
-		if calm, m := calmer(r.counts, r.before(r.news.Build, 20).build, r.news.Build, r.offered, r.offered, 0); m > 0 {
+		was := r.before(r.news.Build, 20).build
+		if calm, m := calmer(r.counts, was, r.news.Build, r.offered, r.offered, 0); m > 0 {
 			gap = min(gap, calm) // a trial that takes most of the traffic leaves the earlier hosts idle
 		}
 		fresh, usual, hosts = []float64{gap}, []float64{0}, on
@@ -852,13 +767,6 @@
 		return s.fate != NoAnswer || warm(s) && !s.hasty && r.news.Phase == OnTrial
 	}
 	counts := r.heardOf(now.build, before.build)
-	calm := map[*Category]float64{} // share that the earlier build failed before the trial, under all its load
-	for _, c := range r.cats {
-		bad, n, _ := counted(pickCounts(r.counts, func(x Count) bool {
-			return x.Build == before.build && x.at <= r.offered
-		}), c)
-		calm[c] = part{bad: bad, n: n}.share(part{0.5, 1 / floor, 0}, kin)
-	}
 	sum, shares := 0.0, 0.0
 	add := func(share, guilt, doubt float64) {
 		sum, shares, doubts = sum+share*guilt, shares+share, append(doubts, doubt)
@@ -872,9 +780,7 @@
 				some, hosts := matched(fresh, peers, is, but, stray, while, kin)
 				if r.byDesk() { // which does not tell hosts apart: this router's own copies do
 					some, hosts = paired(counts[0], counts[1], c, kin), hosts+1
-					for i := range some { // nor those of the earlier build idle
-						some[i].usual = max(some[i].usual, calm[c])
-					}
+					some = floored(some, r.calmShare(before, c, floor, kin)) // a trial leaves earlier hosts idle
 				}
 				parts, most = append(parts, some...), max(most, hosts)
 			}
@@ -919,12 +825,8 @@
 		add(1, math.Inf(1), 1)
 	}
 	if r.limits.Peers > 0 && r.byDesk() && r.desk.Complaints > 0 { // of all routers, against all sends
-		wrong := func(b int) part {
-			return part{bad: float64(r.blames[b]), n: r.sendsAt(b) / r.desk.Counted}
-		}
-		x, y := wrong(now.build), wrong(before.build)
-		x.usual = max(0.003, y.bad/max(1, y.n)) // now and then a client errs
-		x.n = max(x.n, x.bad)                   // complaints may come before the counts
+		x, y := r.blamed(now), r.blamed(before)
+		x.usual = max(0.003, y.bad/y.n) // now and then a client errs
 		o := odds([]part{x}, 0.01, 0.04)
 		add(1, o, o)
 	} else if r.desk.Complaints > 0 {
--- a/logic/peers.go
+++ b/logic/peers.go
@@ -164,3 +164,80 @@
 	a, b := h.words[1].as(now), h.words[2].as(now)
 	return repute{now, first*a.n + second*b.n, first*a.bad + second*b.bad, first*a.pace + second*b.pace}
 }
+
+// lore is what this router has to tell: of its categories, its way, and of hosts of which more than least is known.
+func (r *Router) lore(least float64) digest {
+	d := digest{way: r.ways[far].as(r.now)}
+	for _, c := range r.cats {
+		x := c.seen.as(r.now)
+		x.out = r.waits(c)
+		d.rushes = append(d.rushes, x)
+	}
+	for _, h := range r.hosts {
+		if d.stands == nil && r.side(h) == near {
+			d.stands = h
+		}
+		for hop := range 2 {
+			w := h.words[hop].as(r.now)
+			if hop == 0 {
+				n := float64(h.stuck(r.now, tardy))
+				w.n, w.bad = w.n+n, w.bad+n
+			}
+			if w.n > least {
+				d.hosts, d.hops, d.words = append(d.hosts, h), append(d.hops, hop), append(d.words, w)
+			}
+		}
+	}
+	return d
+}
+
+// unsaidBlames are messages on complaints that no peer has been told, each once.
+func (r *Router) unsaidBlames() (all [][]byte) {
+	for _, b := range r.books {
+		if n := r.unsaid[b.build]; n > 0 {
+			all = append(all, packBlame(b.build, n))
+			delete(r.unsaid, b.build)
+		}
+	}
+	return all
+}
+
+// crowdTold adds up what a peer tells of its categories.
+func (r *Router) crowdTold(d digest) {
+	r.voices, r.heardAt = 1+r.voices*fade(r.now-r.heardAt), r.now
+	for i, c := range r.cats {
+		c.told.add(d.rushes[i])
+	}
+}
+
+// hostsTold adds up what a peer nearby tells of its way and of hosts, and lists these.
+func (r *Router) hostsTold(d digest) []*Host {
+	r.toldWay.add(d.way)
+	for i, h := range d.hosts {
+		h.words[d.hops[i]+1].add(d.words[i])
+	}
+	return d.hosts
+}
+
+// waits is how many sends of a category are out at hosts that do well, over ways that do: a cut is no jam.
+func (r *Router) waits(c *Category) (n float64) {
+	both := r.together()
+	for _, h := range r.hosts {
+		if h.health != fit || !both && r.side(h) == far {
+			continue
+		}
+		for _, s := range h.open {
+			if s.Task.Category == c {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// way is what is known of the way to the rest, own sends and what those nearby told of theirs.
+func (r *Router) way() *repute {
+	w := r.toldWay
+	w.add(r.ways[far].as(r.now))
+	return &w
+}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -1026,3 +1026,63 @@
 	r.routers, r.rank, r.limits, r.desk = max(1, routers), rank, l, d
 	r.muster.counted = false
 }
+
+// usually learns from an answer of the earlier build what a category takes.
+func (r *Router) usually(c *Category, s *Send, x sample) {
+	if s.fate != Finished || !r.old(s.Host) {
+		return
+	}
+	c.took = keep(c.took, x.took, 64)
+	c.work = keep(c.work, float64(x.took)/(1+r.crowd*s.held), 64)
+	if !r.counting() || len(r.counts) == 0 { // the middle and more, for the tail: slow hosts weigh little
+		c.mid = max(1, Time(above(c.work, 0.5)*4/3))
+	}
+	r.recent = keep(r.recent, x, 200)
+}
+
+// calmShare is what share of a category the desk counted to go wrong at a build before the trial, when all load was
+// its own; as if leaning on so many sends of a usual share.
+func (r *Router) calmShare(before *book, c *Category, usual, kin float64) float64 {
+	bad, n, _ := counted(pickCounts(r.counts, func(x Count) bool {
+		return x.Build == before.build && x.at <= r.offered
+	}), c)
+	return part{bad: bad, n: n}.share(part{0.5, 0.5 / usual, 0}, kin)
+}
+
+// blamed is how many answers of a build all routers heard complaints of, among the sends that the desk counted; these
+// come later, so there are never fewer.
+func (r *Router) blamed(b *book) part {
+	bad := float64(r.blames[b.build])
+	return part{bad: bad, n: max(1, bad, r.sendsAt(b.build)/max(0.01, r.desk.Counted))}
+}
+
+// strained is how jammed the side is that is the less so, of those that have hosts.
+func (r *Router) strained(c *Category) float64 {
+	if r.limits.Peers > 0 {
+		return r.rushed(c)
+	}
+	m := r.standing()
+	switch {
+	case m.well[near] == 0:
+		return r.jam(far)
+	case m.well[far] == 0:
+		return r.jam(near)
+	}
+	return min(r.jam(near), r.jam(far))
+}
+
+// drawBy draws a host, each as often as its weight says.
+func (r *Router) drawBy(from []*Host, of func(*Host) float64) *Host {
+	sum := 0.0
+	for _, h := range from {
+		sum += of(h)
+	}
+	const grain = 1 << 20 // finer than any share that matters
+	at := float64(r.chance(grain)) / grain * sum
+	for _, h := range from {
+		if at -= of(h); at < 0 {
+			return h
+		}
+	}
+	return from[len(from)-1]
+}
