--- a/logic/logic.go
+++ b/logic/logic.go
@@ -181,7 +181,10 @@
 		return false
 	}
 	there, here := r.way().as(r.now), r.ways[near].as(r.now)
-	return there.bad < few || there.bad/there.n < here.bad/max(1, here.n)+gap
+	poor := there.bad >= few && there.bad/there.n >= here.bad/max(1, here.n)+gap
+	// What fades is no good news: where probes tell, the way stays shut until something came through.
+	r.shut = poor || r.shut && r.limits.Probes && there.n-there.bad < few/2
+	return !r.shut
 }
 
 // lot draws a host by what it can do, as the list hints at it and as it warms, or the first of a draw by
--- a/logic/types.go
+++ b/logic/types.go
@@ -383,6 +383,7 @@
 	known   []*Host
 	laden   float64   // what a host holds, as the desk counted last
 	ways    [2]repute // own sends of the sides lately
+	shut    bool      // the way to the far side is poor
 	toldWay repute    // of the far side, told by those nearby
 	fellows []int     // peers nearby that were heard last
 	voices  float64   // peers heard lately, faded
