--- a/logic/logic.go
+++ b/logic/logic.go
@@ -650,7 +650,7 @@
 	if !r.limits.Probes || r.limits.CrossPrice > cheap || r.together() || r.chance(oneIn) > 0 {
 		return
 	}
-	if _, there := r.parted(func(h *Host) bool { return h.health == fit }); len(there) > 0 {
+	if _, there := r.parted(func(*Host) bool { return true }); len(there) > 0 { // sick ones too
 		r.hands.Probe(there[r.chance(len(there))])
 	}
 }
@@ -901,8 +901,8 @@
 	if r.ballot.state == asked && r.now-r.ballot.at > r.desk.VoteTimeout+Second/2 {
 		r.poll(silent, 0, 0, nil)
 	}
-	if !r.speaks() {
-		return
+	if !r.speaks() && (r.ballot.state != stands || r.ballot.voice != On || voice == On) {
+		return // but what stands is taken back at any time: it would move the build on, whoever's turn it is
 	}
 	const pause = Second // before a vote that did not count is cast again: the desk is not flooded
 	if voice != r.ballot.voice && (voice != NoVote || r.ballot.state == stands) || voice != NoVote &&
