One test of builds that slow all hosts: copies rest until the swell ebbs; a second one proves it

Cause: own answers in a turn of three seconds were under ten at nearly all routers, so the test by turns never spoke, and trials now ramp fast. Turns, suspicion and their samples go; the desk's counts, in the category least slowed, take their place.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -276,15 +276,13 @@
 	const part, taste = 1.0, 0.25               // of what earlier hosts get; of that, effects not yet judged
 	const cleared, guilty, fails = 0.1, 10, 0.3 // odds; what a bad build fails of a category, more or less
 	const lately, least, all = 2 * Second, 2, 8 // a while, copies in it of each router at the least, and of all
-	const few = 4                               // routers; of more, those nearby suffice: no way there is judged
 	n, c := r.news, t.Category
 	alone := r.ballot.voice == Back && r.desk.ToAbort <= 1 // others may not agree, and more copies change a mind
 	if !r.heard || n.Phase != OnTrial || alone || r.resting() || !r.room(n.Build, c) {
 		return nil
 	}
-	any := r.together() ||
-		r.routers <= few && r.count(func(h *Host) bool { return r.runs(h) && r.side(h) == near }) == 0
-	by := func(h *Host) bool { return any || r.side(h) == near }
+	both := r.together()
+	by := func(h *Host) bool { return both || r.side(h) == near }
 	here := func(h *Host) bool { return r.runs(h) && by(h) }
 	on := here
 	if well := func(h *Host) bool { return here(h) && h.health != sick }; r.counting() && r.count(well) > 0 {
@@ -696,51 +694,48 @@
 	return spoken(ratio(gap, more, a+b+apart, 6), hosts)
 }
 
-const turn = 3 * Second // long enough for a fleet to show that copies rest, short beside a slowdown
+// resting tells whether copies rest, as the fleet has slowed during the trial.
+func (r *Router) resting() bool { return r.swell == paused || r.swell == proven }
 
-// resting tells whether copies rest: every other turn, on a clock that all routers share without a word,
-// while the earlier build's answers are slower than before the trial.
-func (r *Router) resting() bool { return r.now < r.suspect && r.now/turn%2 == 1 }
-
-// unsure tells that too few turns have passed, or that the hosts known are too few to carry all after a
-// release, or too cold: the more jammed the fleet, the warmer they must be.
+// unsure tells that the fleet has slowed for no known cause, or that the hosts known are too few to carry all
+// after a release, or too cold: the more jammed the fleet, the warmer they must be.
 func (r *Router) unsure() bool {
 	need := min(0.95, 0.4+0.15*max(1, r.jam(near))) // it binds where answers take twice as long as usual
-	return r.now < r.suspect && r.now-r.doubted < 3*turn || 2*r.count(r.runs) < r.count(r.old) ||
+	return r.swell == paused || r.swell == watched || 2*r.count(r.runs) < r.count(r.old) ||
 		r.strong(r.runs) < need*r.count(r.runs)
 }
 
-// shared weighs whether the build on trial slows old and new alike, which leaves no gap between them: no,
-// where the earlier build is as quick as before; else by turns with copies against turns without.
+// swells says whether the build on trial slows old and new alike, which leaves no gap between them: copies
+// rest while the earlier build is slower than before. Where routers see the desk's counts they rest together.
+var swells = []swellRow{
+	{level, swelling, paused},
+	{paused, ebbing, watched},   // copies rest and it is quick again: so far that may be chance
+	{paused, lasting, level},    // it is slow without copies too
+	{watched, swelling, proven}, // with copies it was slow twice, and without them quick
+	{watched, lasting, level},
+}
+
+// shared reads the table and weighs it; a category that waits alone is another trouble, so all must be slow.
 func (r *Router) shared(before *book) float64 {
-	const more, scatter = 0.3, 0.6 // log of a third slower; variance of a send
-	const drift, sway = 0.02, 0.05 // variance of two times, and of two turns, less the more turns there are
-	logs := before.slowness(r.now-turn, r.crowd)
-	if len(logs) < 10 {
-		return 1
-	}
-	slow, unsure := stat.Mean(logs, nil), scatter/float64(len(logs))
-	if gap, n := calmer(r.counts, before.build, before.build, r.offered, r.now-turn, 0); r.byDesk() && n > 0 {
-		slow, unsure = gap, scatter/n
-	}
-	if o := ratio(slow, more, unsure+drift, 5); o < 1 {
-		return o
-	}
-	const small = 0.15 // of the sends: what gets less can't slow a fleet so
-	if since(r.tried, r.now-turn, nil) < small*since(r.flow, r.now-turn, nil) && r.now > r.suspect {
-		return 1
+	const high, low = 0.4, 0.25 // log of half slower than before the trial; of little more than then
+	const rest = 15 * Second    // by then what waits at hosts has gone and the desk has counted it
+	const small = 0.15          // of the sends: what gets less can't slow a fleet so
+	const proof = 400           // odds: enough among the other tests that find nothing
+	slow, n := r.slowest(before, r.now-rest/6)
+	switch {
+	case n < 10:
+	case slow > high && r.tasted(r.now-rest/6) > small:
+		r.surge(swelling)
+	case slow < low:
+		r.surge(ebbing)
 	}
-	if r.now > r.suspect {
-		r.doubted = r.now
+	if r.now-r.surged > rest {
+		r.surge(lasting)
 	}
-	r.suspect = r.now + 4*turn
-	with, without := before.turns(r.doubted, turn, Second, r.crowd)
-	if r.now-r.doubted < 3*turn || len(with) < 10 || len(without) < 10 {
-		return 1
+	if r.swell == proven {
+		return proof
 	}
-	variance := scatter*(1/float64(len(with))+1/float64(len(without))) +
-		sway*float64(2*turn)/float64(r.now-r.doubted)
-	return ratio(stat.Mean(with, nil)-stat.Mean(without, nil), more, variance, 5)
+	return 1
 }
 
 // counting tells whether the desk counts far more of all sends than a router sees: then its counts, though
--- a/logic/peers_test.go
+++ b/logic/peers_test.go
@@ -302,3 +302,35 @@
 	f.pass(5 * Second)
 	require.Len(t, f.told, told)
 }
+
+// A build that slows old and new alike leaves no gap: slow with copies, quick without, and slow again prove it.
+func TestTwoSwellsWithCopiesProveABuildThatSlowsAll(t *testing.T) {
+	story := func(means ...Time) (f *fake) {
+		f, _ = among(t, func(p *Place) { p.Rank, p.Limits.TwoAtOnce = 0, false })
+		count := func(mean Time) {
+			for _, b := range []int{1, 2} {
+				for _, c := range []*Category{f.quote, f.order, f.payment} {
+					f.r.Counted(f.now, Count{Build: b, Category: c, Samples: 100, Mean: mean, Over: 2 * Second})
+				}
+			}
+		}
+		count(Second / 20)
+		f.trial(2, 1)
+		for _, m := range means {
+			f.pass(2 * Second)
+			count(m)
+			f.pass(Second / 2)
+		}
+		return f
+	}
+	const quick, slow = Second / 20, Second / 10
+	f := story(quick, slow)
+	require.True(t, f.r.resting())
+	require.True(t, f.r.unsure(), "no release meanwhile")
+	require.NotContains(t, f.votes, Back)
+	require.False(t, story(quick, slow, quick).r.resting(), "they go on when it is quick again")
+	require.Contains(t, story(quick, slow, quick, slow).votes, Back)
+	f = story(quick, slow, slow, slow, slow, slow, slow, slow)
+	require.False(t, f.r.swell == proven, "slow without copies too: another trouble")
+	require.NotContains(t, f.votes, Back)
+}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -614,21 +614,6 @@
 	return math.Log(float64(max(1, x.took)) / (1 + crowd*x.held) / float64(x.cat.calm))
 }
 
-// turns parts such logs into those of even and odd turns of a clock; the first part of each turn is left out.
-func (b *book) turns(from, turn, but Time, crowd float64) (even, odd []float64) {
-	for _, x := range b.samples {
-		at := x.at - x.took/2
-		switch {
-		case at < from || at%turn < but || x.cat.calm == 0:
-		case at/turn%2 == 0:
-			even = append(even, x.logPace(crowd))
-		default:
-			odd = append(odd, x.logPace(crowd))
-		}
-	}
-	return even, odd
-}
-
 // Left says that a client has gone.
 func (r *Router) Left(now Time, t *Task) {
 	r.now = now
@@ -758,7 +743,7 @@
 		for _, c := range r.cats {
 			c.calm = c.mid
 		}
-		r.offered = r.now
+		r.offered, r.swell, r.surged = r.now, level, r.now
 	}
 	r.news, r.heard = n, true
 	r.muster.counted = false
@@ -1086,3 +1071,46 @@
 	}
 	return from[len(from)-1]
 }
+
+// surge reads the table of swells.
+func (r *Router) surge(in swellInput) {
+	for _, row := range swells {
+		if row.state == r.swell && row.input == in {
+			r.swell, r.surged = row.next, r.now
+			return
+		}
+	}
+}
+
+// slowest is how much longer than before the trial a build's sends take since from: by the desk's counts, in the
+// category that is the least so, or by own answers; and how many sends say so.
+func (r *Router) slowest(before *book, from Time) (gap, n float64) {
+	if !r.byDesk() {
+		logs := before.slowness(from, r.crowd)
+		return stat.Mean(logs, nil), float64(len(logs))
+	}
+	gap = math.Inf(1)
+	for _, c := range r.cats {
+		of := pickCounts(r.counts, func(x Count) bool { return x.Category == c })
+		if g, k := calmer(of, before.build, before.build, r.offered, from, 0); k > 0 {
+			gap, n = min(gap, g), n+k
+		}
+	}
+	return gap, n
+}
+
+// tasted is the share of the sends since a moment that went on trial, as the desk counted them, or of the own.
+func (r *Router) tasted(from Time) float64 {
+	at, all := since(r.tried, from, nil), since(r.tried, from, nil)+since(r.flow, from, nil)
+	if r.byDesk() {
+		at, all = 0, 0
+		for _, x := range r.counts {
+			if x.at > from {
+				if all += float64(x.Samples); x.Build == r.news.Build {
+					at += float64(x.Samples)
+				}
+			}
+		}
+	}
+	return at / max(1, all)
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -357,13 +357,13 @@
 		at   Time
 		rate float64
 	}
-	crowd   float64   // what each task that a host holds adds to the time of the next, as a share
-	recent  []sample  // finished sends at earlier builds
-	offered Time      // when the newest build was first told
-	staged  Time      // when the present stage was first told
-	suspect Time      // until when copies rest every other turn
+	crowd   float64  // what each task that a host holds adds to the time of the next, as a share
+	recent  []sample // finished sends at earlier builds
+	offered Time     // when the newest build was first told
+	staged  Time     // when the present stage was first told
+	swell   swell    // how the fleet has slowed during the trial, and since when
+	surged  Time
 	quickAt Time      // when the fleet was last about as quick as before the trial
-	doubted Time      // since when copies rest every other turn
 	reports []float64 // what hosts last reported to hold
 	taken   []moment
 	tried   []moment
@@ -424,6 +424,8 @@
 	role        int
 	health      int
 	healthInput int
+	swell       int
+	swellInput  int
 	ballotState int
 	ballotInput int
 )
@@ -467,6 +469,19 @@
 	steady
 )
 
+const (
+	level swell = iota
+	paused
+	watched
+	proven
+)
+
+const (
+	swelling swellInput = iota
+	ebbing
+	lasting
+)
+
 const (
 	quiet ballotState = iota
 	asked
@@ -494,6 +509,11 @@
 		next  health
 		rest  Time
 	}
+	swellRow struct {
+		state swell
+		input swellInput
+		next  swell
+	}
 	ballotRow struct {
 		state ballotState
 		input ballotInput
