--- a/logic/logic.go
+++ b/logic/logic.go
@@ -719,11 +719,12 @@
 func (r *Router) shared(before *book) float64 {
 	const high, low = 0.4, 0.25 // log of half slower than before the trial; of little more than then
 	const rest = 15 * Second    // by then what waits at hosts has gone and the desk has counted it
+	const few = 60              // sends, as these scatter
 	const small = 0.15          // of the sends: what gets less can't slow a fleet so
 	const proof = 400           // odds: enough among the other tests that find nothing
 	slow, n := r.slowest(before, r.now-rest/6)
 	switch {
-	case n < 10:
+	case n < few:
 	case slow > high && r.tasted(r.now-rest/6) > small:
 		r.surge(swelling)
 	case slow < low:
--- a/logic/peers_test.go
+++ b/logic/peers_test.go
@@ -306,7 +306,7 @@
 // A build that slows old and new alike leaves no gap: slow with copies, quick without, and slow again prove it.
 func TestTwoSwellsWithCopiesProveABuildThatSlowsAll(t *testing.T) {
 	story := func(means ...Time) (f *fake) {
-		f, _ = among(t, func(p *Place) { p.Rank, p.Limits.TwoAtOnce = 0, false })
+		f, _ = among(t, func(p *Place) { p.Desk.Control, p.Limits.TwoAtOnce = ShareOfVotes, false })
 		count := func(mean Time) {
 			for _, b := range []int{1, 2} {
 				for _, c := range []*Category{f.quote, f.order, f.payment} {
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -1082,7 +1082,7 @@
 	}
 }
 
-// slowest is how much longer than before the trial a build's sends take since from: by the desk's counts, in the
+// slowest is how much longer than before the trial sends take since from: by the desk's counts of all, in the
 // category that is the least so, or by own answers; and how many sends say so.
 func (r *Router) slowest(before *book, from Time) (gap, n float64) {
 	if !r.byDesk() {
@@ -1092,8 +1092,10 @@
 	gap = math.Inf(1)
 	for _, c := range r.cats {
 		of := pickCounts(r.counts, func(x Count) bool { return x.Category == c })
-		if g, k := calmer(of, before.build, before.build, r.offered, from, 0); k > 0 {
-			gap, n = min(gap, g), n+k
+		g, k := calmer(of, before.build, before.build, r.offered, from, 0)
+		h, l := calmer(of, before.build, r.news.Build, r.offered, from, 0) // in the end it has most of the sends
+		if k+l > 0 {
+			gap, n = min(gap, (g*k+h*l)/(k+l)), n+k+l
 		}
 	}
 	return gap, n
