--- a/logic/logic.go
+++ b/logic/logic.go
@@ -170,7 +170,7 @@
 	return a
 }
 
-const cheap = 0.02 // points of service, of a way: near sends alone lost five times that
+const cheap = 0.015 // points of service that crossing may cost: near sends alone lost five times that
 
 // together tells that hosts are drawn wherever they stand: where crossing costs less than an uneven split of
 // traffic or hosts over locations does, which a router with little traffic can't see. Not while the way there
