--- a/logic/peers_test.go
+++ b/logic/peers_test.go
@@ -334,3 +334,40 @@
 	require.False(t, f.r.swell == proven, "slow without copies too: another trouble")
 	require.NotContains(t, f.votes, Back)
 }
+
+// What is given up gets its answer in the event that brings it, with a time to come back where one may be named.
+func TestWhatIsGivenUpIsAnsweredAtOnceWithATimeToComeBack(t *testing.T) {
+	f, list := among(t, func(p *Place) { p.Limits.LongestStay = 2 * Second })
+	for i := range list {
+		list[i].Standing = Gone
+	}
+	f.r.Listed(f.now, list, true)
+	task := f.take(f.quote)
+	require.Equal(t, []*Task{task}, f.turned, "before the call returns")
+	require.Positive(t, f.stays[0])
+	require.LessOrEqual(t, f.stays[0], 2*Second)
+
+	f, _ = among(t, func(p *Place) { p.Limits.MaxSends = 1 })
+	task = f.take(f.payment)
+	f.end(task.Sends[0], Cut, Second/20)
+	require.Equal(t, []*Task{task}, f.scrapped, "it may have run, and nothing is held back")
+}
+
+// Probe answers that are late, doubled or of a host that has gone move no rule's bound.
+func TestStrayProbeAnswersBringNoFault(t *testing.T) {
+	f, list := among(t, nil)
+	gone := list[0]
+	gone.Standing = Gone
+	f.r.Listed(f.now, []Listing{gone}, true)
+	for _, fate := range []Fate{Finished, NoAnswer, NoLink, Errored} {
+		for range 3 {
+			f.r.Probed(f.now, gone.Host, fate, 10*Second, nil)
+			f.r.Probed(f.now, list[1].Host, fate, 10*Second, &Load{Active: -1})
+		}
+	}
+	f.serve(30, f.quote, fine)
+	require.Empty(t, f.scrapped)
+	for _, s := range f.sent {
+		require.NotEqual(t, gone.Host, s.Host)
+	}
+}
