The module does the same with less: sums once a moment, words in one list, one bound asked once

Draws worked out each host's share twice and for both hosts drawn; a jam counted sends out by category five times a task; a cold host's budget added up all hosts for each cold host; the test of a slow fleet copied the desk's counts for each category at each look. The list that two sides were joined in lost its memory at each choice. Three lists side by side are one of words; complaints have one path; crossing's bound is asked in one place; a field that nothing read goes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -98,7 +98,7 @@
 		return false
 	}
 	due := since(r.taken, r.now-flowOver, nil) * float64(r.limits.TipFor) / float64(flowOver) *
-		r.able(h) / max(r.able(h), r.allAble(r.old)) // on trial too, where shares are those of earlier hosts
+		r.able(h) / max(r.able(h), r.oldAble()) // on trial too, where shares are those of earlier hosts
 	return due <= budget || float64(r.chance(1000)) < 1000*budget/due
 }
 
@@ -136,14 +136,16 @@
 	here, there := r.parted(func(h *Host) bool { return fits(h) && r.mayGo(t, h) })
 	if r.together() {
 		here, there = append(here, there...), nil
+		r.here = here // so that what it grew to is kept
 	}
 	busy := func(h *Host) float64 { return r.pace(h, doubt, old) * (1 + r.held(h)) }
 	scarce := r.share(last, func(x moment) bool { return x.fate == NoLink }) > barred
 	draw := func(from []*Host) (best *Host) {
 		known := r.lately(from, r.now-lately)
 		try := func(n int, from []*Host) {
+			w := r.shares(from)
 			for range min(n, len(from)) {
-				if h := r.lot(from, best == nil); best == nil || busy(h) < busy(best) {
+				if h := r.lot(from, w, best == nil); best == nil || busy(h) < busy(best) {
 					best = h
 				}
 			}
@@ -157,7 +159,7 @@
 		return best
 	}
 	a, b := draw(here), draw(there)
-	if a != nil && r.limits.CrossPrice <= cheap {
+	if a != nil && r.spreads() {
 		return a // the way is poor: what may be lost there costs more than a wait
 	}
 	price := r.limits.CrossPrice * float64(25+r.chance(50)) / 100 // in a band, lest all cross at once
@@ -170,38 +172,47 @@
 	return a
 }
 
-const cheap = 0.015 // points of service that crossing may cost: near sends alone lost five times that
+// spreads tells that crossing costs less than an uneven split of traffic or hosts over locations does,
+// which a router with little traffic can't see.
+func (r *Router) spreads() bool {
+	const cheap = 0.015 // points of service: near sends alone lost five times that
+	return r.limits.CrossPrice <= cheap
+}
 
-// together tells that hosts are drawn wherever they stand: where crossing costs less than an uneven split of
-// traffic or hosts over locations does, which a router with little traffic can't see. Not while the way there
-// is poor: of the last sends there far more failed or dragged than of those nearby.
+// together tells that hosts are drawn wherever they stand. Not while the way there is poor: of the last sends
+// there far more failed or dragged than of those nearby.
 func (r *Router) together() bool {
 	const few, gap = 1.5, 0.3
-	if r.limits.CrossPrice > cheap {
+	if !r.spreads() {
 		return false
 	}
-	there, here := r.way().as(r.now), r.ways[near].as(r.now)
+	there, here := r.way(), r.ways[near].as(r.now)
 	poor := there.bad >= few && there.bad/there.n >= here.bad/max(1, here.n)+gap
 	// What fades is no good news: where probes tell, the way stays shut until something came through.
 	r.shut = poor || r.shut && r.limits.Probes && there.n-there.bad < few/2
 	return !r.shut
 }
 
-// lot draws a host by what it can do, as the list hints at it and as it warms, or the first of a draw by
-// the parts of a plan that holds. The other stays drawn so, that a plan that has become wrong is corrected
-// by how busy the two are. Most routers meet a host too seldom to learn its speed: what peers tell of it
-// counts here, where it moves shares, and not between the two, or all routers would take the same one at
-// once.
-func (r *Router) lot(from []*Host, first bool) *Host {
+// lot draws a host by the shares that are due, or the first of a draw by the parts of a plan that holds. The
+// other stays drawn so, that a plan that has become wrong is corrected by how busy the two are.
+func (r *Router) lot(from []*Host, due []float64, first bool) *Host {
+	if first && r.now < r.course.Until && slices.ContainsFunc(from, func(h *Host) bool { return h.part > 0 }) {
+		due = r.parts(from)
+	}
+	return r.drawBy(from, due)
+}
+
+// shares are what hosts are due, until it is asked for again: by what they can do, as the list hints at it
+// and as they warm. Most routers meet a host too seldom to learn its speed: what peers tell of it counts
+// here, where it moves shares, and not between two drawn, or all routers would take the same one at once.
+func (r *Router) shares(from []*Host) []float64 {
 	const doubt = 4 // usual sends
-	of := func(h *Host) float64 {
+	r.weights = r.weights[:0]
+	for _, h := range from {
 		w := h.rumour(r.now, firsthand, passedOn)
-		return r.able(h) / max(1, (doubt+w.pace)/(doubt+w.n))
+		r.weights = append(r.weights, r.able(h)/max(1, (doubt+w.pace)/(doubt+w.n)))
 	}
-	if first && r.now < r.course.Until && slices.ContainsFunc(from, func(h *Host) bool { return h.part > 0 }) {
-		of = func(h *Host) float64 { return h.part }
-	}
-	return r.drawBy(from, of)
+	return r.weights
 }
 
 // crosses draws whether a task starts far away, as a plan that holds has it.
@@ -273,7 +284,7 @@
 // the first stages, a few until they have been judged, and then all whose likely harm costs less than the
 // delay of the rest.
 func (r *Router) onTrial(t *Task) *Host {
-	const part, taste = 1.0, 0.25               // of what earlier hosts get; of that, effects not yet judged
+	const taste = 0.25                          // of what earlier hosts get, effects not yet judged
 	const cleared, guilty, fails = 0.1, 10, 0.3 // odds; what a bad build fails of a category, more or less
 	const lately, least, all = 2 * Second, 2, 8 // a while, copies in it of each router at the least, and of all
 	n, c := r.news, t.Category
@@ -289,8 +300,8 @@
 		on = well // the desk tells no host from a build: a sick one's failures would be the build's
 	}
 	// Where others cross, those nearby alone say little of what a host gets.
-	peer := func(h *Host) bool { return r.old(h) && (by(h) || r.limits.CrossPrice <= cheap) }
-	each := part * since(r.taken, r.now-lately, nil) / max(1, r.allAble(peer))
+	peer := func(h *Host) bool { return r.old(h) && (by(h) || r.spreads()) }
+	each := since(r.taken, r.now-lately, nil) / max(1, r.allAble(peer))
 	due := max(min(least, all/float64(r.routers)), each*r.allAble(on))
 	if c.Repeat != Retriable && r.desk.HarmPrice*fails*c.odds >= r.desk.DelayPrice {
 		if c.odds < cleared || c.odds > guilty || float64(r.chance(1000)) >= 1000*taste {
@@ -403,15 +414,16 @@
 func (r *Router) rushed(c *Category) float64 {
 	const few, luck, lag = 10, 0.5, 3.0 // usual answers to lean on; as in a jam seen alone
 	out, hosts := 0.0, float64(r.standing().well[near]+r.standing().well[far])
+	r.waits()
 	for _, x := range r.cats {
-		out += r.waits(x) + x.told.as(r.now).out
+		out += float64(x.out) + x.told.as(r.now).out
 	}
 	if out*float64(r.routers)/(1+r.voices*fade(r.now-r.heardAt)) <= hosts {
 		return 0
 	}
 	own, told, lean := c.seen.as(r.now), c.told.as(r.now), few*float64(c.mid)
 	work, took := own.work+told.work+lean, own.took+told.took+lean
-	out = r.waits(c) + told.out
+	out = float64(c.out) + told.out
 	out = max(0, out-luck*math.Sqrt(out))
 	return min((out*float64(fading)+lean)/work, lag*took/work)
 }
@@ -633,19 +645,19 @@
 	if !slices.Contains(r.fellows, peer) {
 		r.fellows = keep(r.fellows, peer, known)
 	}
-	for _, h := range r.hostsTold(d) {
-		if h.health == fit && r.failing(h) {
-			r.move(h, fails)
+	r.nearTold(d)
+	for _, w := range d.words {
+		if w.host.health == fit && r.failing(w.host) {
+			r.move(w.host, fails)
 		}
 	}
 }
 
 // scout probes a host far away now and then while the way there is poor, so that no task need try whether
-// it still is; what comes of it is told like a send. A probe waits for no answer longer than a way that
-// does well takes.
+// it still is; what comes of it is told like a send.
 func (r *Router) scout() {
 	const oneIn = 20 // looks: with what those nearby tell, enough to keep the way shut and to find it open
-	if !r.limits.Probes || r.limits.CrossPrice > cheap || r.together() || r.chance(oneIn) > 0 {
+	if !r.limits.Probes || !r.spreads() || r.together() || r.chance(oneIn) > 0 {
 		return
 	}
 	if _, there := r.parted(func(*Host) bool { return true }); len(there) > 0 { // sick ones too
@@ -672,7 +684,7 @@
 
 // drag weighs whether a build's hosts are slower than the ones before, host by host, as they differ. apart is
 // the variance between two good sets, at two times; share is how many must be that slow. Or the desk speaks.
-func (r *Router) drag(now, before []word, counts [2][]Count, apart, share float64) float64 {
+func (r *Router) drag(now, before []word, counts [2][]Count, was int, apart, share float64) float64 {
 	const differ, scatter = 0.2, 0.8              // variance: the one's square, and the other by sends
 	const more = 0.6                              // log of 1.8: a fleet that is half full feels that
 	fresh, a := paces(now, differ, scatter, 3, 1) // or 1, with so many hosts that none is met three times
@@ -680,8 +692,7 @@
 	hosts := len(fresh)
 	if r.byDesk() {
 		gap, n, of, on := countedGap(counts[0], counts[1])
-		was := r.before(r.news.Build, 20).build
-		if calm, m := calmer(r.counts, was, r.news.Build, r.offered, r.offered, 0); m > 0 {
+		if calm, m := calmer(r.counts, nil, was, r.news.Build, r.offered, r.offered, 0); m > 0 {
 			gap = min(gap, calm) // a trial that takes most of the traffic leaves the earlier hosts idle
 		}
 		fresh, usual, hosts = []float64{gap}, []float64{0}, on
@@ -806,7 +817,7 @@
 	}
 	level := levels(peers, done, while, kin)
 	all, usual := words(fresh, done, level), words(peers, done, level)
-	slower := func(share float64) float64 { return r.drag(all, usual, counts, apart, share) }
+	slower := func(share float64) float64 { return r.drag(all, usual, counts, before.build, apart, share) }
 	add(1, slower(0.75), slower(0.5)) // most hosts to convict, half to doubt
 	if r.news.Phase == OnTrial {
 		o := r.shared(before)
@@ -816,21 +827,21 @@
 	n := float64(len(logs)) // few of them scatter
 	slow := stat.Mean(logs, nil) - 0.5/math.Sqrt(n)
 	if r.counting() { // a router's own figures are against a third more than the middle
-		slow, n = calmer(r.counts, before.build, now.build, r.offered, r.now-3*Second, 0.3)
+		slow, n = calmer(r.counts, nil, before.build, now.build, r.offered, r.now-3*Second, 0.3)
 	}
 	if r.news.Phase != Released || n < 5 || slow < twice {
 		r.quickAt = r.now
 	} else if r.now-r.quickAt > lasting && r.quickAt < r.staged+begins { // later, it is another trouble
 		add(1, math.Inf(1), 1)
 	}
-	if r.limits.Peers > 0 && r.byDesk() && r.desk.Complaints > 0 { // of all routers, against all sends
-		x, y := r.blamed(now), r.blamed(before)
-		x.usual = max(0.003, y.bad/y.n) // now and then a client errs
-		o := odds([]part{x}, 0.01, 0.04)
-		add(1, o, o)
-	} else if r.desk.Complaints > 0 {
-		usual := max(0.003, before.complaints()/float64(len(before.samples)+1)) // now and then a client errs
-		o := odds([]part{{now.complaints(), float64(len(now.samples)), usual}}, 0.01, 0.04)
+	if r.desk.Complaints > 0 {
+		x := part{now.complaints(), float64(len(now.samples)), before.complaints() / float64(len(before.samples)+1)}
+		if r.limits.Peers > 0 && r.byDesk() { // of all routers, against all sends
+			y := r.blamed(before)
+			x = r.blamed(now)
+			x.usual = y.bad / y.n
+		}
+		o := odds(floored([]part{x}, 0.003), 0.01, 0.04) // now and then a client errs
 		add(1, o, o)
 	}
 	return sum / shares, doubts
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -233,7 +233,7 @@
 	f, _ := begin(t, nil)
 	f.r.counts = []Count{{Build: 1, Category: f.quote, Samples: 90, Mean: 500, at: Second},
 		{Build: 2, Category: f.quote, Samples: 90, Mean: 1000, at: 9 * Second}}
-	gap, _ := calmer(f.r.counts, 1, 2, 2*Second, 8*Second, 0)
+	gap, _ := calmer(f.r.counts, nil, 1, 2, 2*Second, 8*Second, 0)
 	require.InDelta(t, 0.69, gap, 0.01)
 }
 
--- a/logic/peers.go
+++ b/logic/peers.go
@@ -9,7 +9,8 @@
 	"slices"
 )
 
-// fading is how long sums of what was seen last: about as long as a host's trouble or a jam takes to be another.
+// fading is how long sums of what was seen last: about as long as a host's trouble or a jam takes to be
+// another.
 const fading = 3 * Second
 
 // fade is what is left of a sum after a span.
@@ -23,6 +24,9 @@
 
 // as is a repute's sums at a later moment.
 func (p repute) as(now Time) repute {
+	if p.n == 0 {
+		return repute{at: now} // nothing to fade, as for most hosts at most routers
+	}
 	f := fade(now - p.at)
 	return repute{now, p.n * f, p.bad * f, p.pace * f}
 }
@@ -48,35 +52,30 @@
 	*p = rush{y.at, y.out + x.out, y.work + x.work, y.took + x.took}
 }
 
+// saying is a word on a host; hop 0 is first hand, 1 was told by who met it.
+type saying struct {
+	host *Host
+	hop  int
+	repute
+}
+
 // digest is what one router tells another.
 type digest struct {
 	stands *Host // one near the sender, if any
 	way    repute
 	rushes []rush
-	hosts  []*Host
-	hops   []int
-	words  []repute
+	words  []saying
 }
 
 // worst keeps so many words, those with most bad first.
 func (d *digest) worst(many int) {
-	order := make([]int, len(d.words))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(i, j int) int {
-		a, b := d.words[i], d.words[j]
+	slices.SortStableFunc(d.words, func(a, b saying) int {
 		if c := cmp.Compare(b.bad, a.bad); c != 0 {
 			return c
 		}
 		return cmp.Compare(b.n, a.n)
 	})
-	order = order[:min(many, len(order))]
-	hosts, hops, words := d.hosts, d.hops, d.words
-	d.hosts, d.hops, d.words = nil, nil, nil
-	for _, i := range order {
-		d.hosts, d.hops, d.words = append(d.hosts, hosts[i]), append(d.hops, hops[i]), append(d.words, words[i])
-	}
+	d.words = d.words[:min(many, len(d.words))]
 }
 
 const (
@@ -103,18 +102,18 @@
 		b = binary.LittleEndian.AppendUint16(b, uint16(min(math.MaxUint16, x.work/spell)))
 		b = binary.LittleEndian.AppendUint16(b, uint16(min(math.MaxUint16, x.took/spell)))
 	}
-	for i, h := range d.hosts {
+	for _, w := range d.words {
 		if len(b)+wordBytes > most {
 			break
 		}
-		w := d.words[i]
-		b = binary.LittleEndian.AppendUint32(b, h.ID)
-		b = append(b, byte(d.hops[i]), small(w.n*grain), small(w.bad*grain), small(w.pace/max(0.01, w.n)*paceGrain))
+		b = binary.LittleEndian.AppendUint32(b, w.host.ID)
+		b = append(b, byte(w.hop), small(w.n*grain), small(w.bad*grain), small(w.pace/max(0.01, w.n)*paceGrain))
 	}
 	return b
 }
 
-// unpack reads a digest; what is not one to the last byte is none at all. Hosts that are not listed are left out.
+// unpack reads a digest; what is not one to the last byte is none at all. Hosts that are not listed are
+// left out.
 func (r *Router) unpack(b []byte) (d digest, ok bool) {
 	if len(b) < headBytes || b[0] != kindDigest || int(b[1]) != len(r.cats) ||
 		len(b) < headBytes+rushBytes*len(r.cats) || (len(b)-headBytes-rushBytes*len(r.cats))%wordBytes != 0 {
@@ -133,8 +132,8 @@
 		if h == nil || b[4] > 1 {
 			continue
 		}
-		d.hosts, d.hops = append(d.hosts, h), append(d.hops, int(b[4]))
-		d.words = append(d.words, repute{r.now, n, min(n, float64(b[6])/grain), n * float64(b[7]) / paceGrain})
+		d.words = append(d.words, saying{h, int(b[4]),
+			repute{r.now, n, min(n, float64(b[6])/grain), n * float64(b[7]) / paceGrain}})
 	}
 	return d, true
 }
@@ -165,12 +164,14 @@
 	return repute{now, first*a.n + second*b.n, first*a.bad + second*b.bad, first*a.pace + second*b.pace}
 }
 
-// lore is what this router has to tell: of its categories, its way, and of hosts of which more than least is known.
+// lore is what this router has to tell: of its categories, its way, and of hosts of which more than least
+// is known.
 func (r *Router) lore(least float64) digest {
 	d := digest{way: r.ways[far].as(r.now)}
+	r.waits()
 	for _, c := range r.cats {
 		x := c.seen.as(r.now)
-		x.out = r.waits(c)
+		x.out = float64(c.out)
 		d.rushes = append(d.rushes, x)
 	}
 	for _, h := range r.hosts {
@@ -184,7 +185,7 @@
 				w.n, w.bad = w.n+n, w.bad+n
 			}
 			if w.n > least {
-				d.hosts, d.hops, d.words = append(d.hosts, h), append(d.hops, hop), append(d.words, w)
+				d.words = append(d.words, saying{h, hop, w})
 			}
 		}
 	}
@@ -210,34 +211,34 @@
 	}
 }
 
-// hostsTold adds up what a peer nearby tells of its way and of hosts, and lists these.
-func (r *Router) hostsTold(d digest) []*Host {
+// nearTold adds up what a peer nearby tells of its way and of hosts.
+func (r *Router) nearTold(d digest) {
 	r.toldWay.add(d.way)
-	for i, h := range d.hosts {
-		h.words[d.hops[i]+1].add(d.words[i])
+	for _, w := range d.words {
+		w.host.words[w.hop+1].add(w.repute)
 	}
-	return d.hosts
 }
 
-// waits is how many sends of a category are out at hosts that do well, over ways that do: a cut is no jam.
-func (r *Router) waits(c *Category) (n float64) {
+// waits counts the sends of each category that are out at hosts that do well, over ways that do: a cut is
+// no jam.
+func (r *Router) waits() {
+	for _, c := range r.cats {
+		c.out = 0
+	}
 	both := r.together()
 	for _, h := range r.hosts {
 		if h.health != fit || !both && r.side(h) == far {
 			continue
 		}
 		for _, s := range h.open {
-			if s.Task.Category == c {
-				n++
-			}
+			s.Task.Category.out++
 		}
 	}
-	return n
 }
 
 // way is what is known of the way to the rest, own sends and what those nearby told of theirs.
-func (r *Router) way() *repute {
+func (r *Router) way() repute {
 	w := r.toldWay
 	w.add(r.ways[far].as(r.now))
-	return &w
+	return w
 }
--- a/logic/peers_test.go
+++ b/logic/peers_test.go
@@ -20,7 +20,7 @@
 
 // word is a digest of a peer nearby: so many sends at a host, so many of them bad.
 func (f *fake) word(h *Host, n, bad float64) []byte {
-	d := digest{stands: h, rushes: make([]rush, 3), hosts: []*Host{h}, hops: []int{0}, words: []repute{{f.now, n, bad, n}}}
+	d := digest{stands: h, rushes: make([]rush, 3), words: []saying{{h, 0, repute{f.now, n, bad, n}}}}
 	return d.pack(256)
 }
 
@@ -44,13 +44,14 @@
 	require.Zero(t, h.words[0].n, "no own sends")
 	require.InDelta(t, 8, h.words[1].n, 0.1)
 	d := f.r.lore(0.3)
-	require.Equal(t, []int{1}, d.hops, "told at second hand")
+	require.Len(t, d.words, 1)
+	require.Equal(t, 1, d.words[0].hop, "told at second hand")
 	back, ok := f.r.unpack(d.pack(256))
 	require.True(t, ok)
-	f.r.hostsTold(back)
+	f.r.nearTold(back)
 	require.InDelta(t, 8, h.words[1].n, 0.1)
 	require.InDelta(t, 8, h.words[2].n, 0.1)
-	require.Len(t, f.r.lore(0.3).hops, 1, "what came at second hand goes no further")
+	require.Len(t, f.r.lore(0.3).words, 1, "what came at second hand goes no further")
 }
 
 func TestWordsThatCantBeReadOrNameUnlistedHostsChangeNothing(t *testing.T) {
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -297,13 +297,16 @@
 }
 
 // calmer is the log of how much longer the sends at a build take now than those at another before the newest
-// was offered, less so much, as the desk counted them, and the number of the former.
-func calmer(all []Count, was, is int, offered, now Time, less float64) (gap, n float64) {
-	calm := pickCounts(all, func(x Count) bool { return x.Build == was && x.Mean > 0 && x.at <= offered })
-	for _, x := range pickCounts(all, func(x Count) bool { return x.Build == is && x.Mean > 0 && x.at > now }) {
+// was offered, less so much, as the desk counted them, and the number of the former; a category narrows it.
+func calmer(all []Count, c *Category, was, is int, offered, now Time, less float64) (gap, n float64) {
+	for _, x := range all {
+		if x.Build != is || x.Mean <= 0 || x.at <= now || c != nil && x.Category != c {
+			continue
+		}
 		took, sum := 0.0, 0.0
-		for _, y := range calm {
-			if good := float64(y.Samples - y.Bad); y.Category == x.Category {
+		for _, y := range all {
+			if y.Build == was && y.Mean > 0 && y.at <= offered && y.Category == x.Category {
+				good := float64(y.Samples - y.Bad)
 				took, sum = took+good*float64(y.Mean), sum+good
 			}
 		}
@@ -664,8 +667,9 @@
 	}
 }
 
-// reckon sets what a category usually takes by the calmest of the desk's periods kept: hundreds of routers have
-// too few sends of their own to tell, and were apart by ten times; and a category that waits long is not usual.
+// reckon sets what a category usually takes by the calmest of the desk's periods kept: hundreds of routers
+// have too few sends of their own to tell, and were apart by ten times; and a category that waits long is
+// not usual.
 func (r *Router) reckon(c *Category) {
 	const few, calm = 10, 0.85
 	var means []Time
@@ -686,8 +690,8 @@
 	return max(1, (own.took+told.took+lean)/(own.work+told.work+lean))
 }
 
-// lateOf is how many of the last ended sends of a category were late; where hundreds of routers see few, those of
-// others are taken to be in time.
+// lateOf is how many of the last ended sends of a category were late; where hundreds of routers see few,
+// those of others are taken to be in time.
 func (r *Router) lateOf(c *Category, last int) float64 {
 	if r.limits.Peers == 0 {
 		return r.share(last, func(x moment) bool { return x.late })
@@ -943,8 +947,19 @@
 	return sum
 }
 
+// oldAble is what all hosts whose build is not on trial can do, worked out once for each moment.
+func (r *Router) oldAble() float64 {
+	m := r.standing()
+	if m.ableAt != r.now {
+		m.able, m.ableAt = r.allAble(r.old), r.now
+	}
+	return m.able
+}
+
 // warm tells hosts that have been up for long enough to do all they can.
-func (r *Router) warm(h *Host) bool { return h.Up == 0 || r.now-h.Up >= r.limits.Cold }
+func (r *Router) warm(h *Host) bool { return r.warmAt(h, r.now) }
+
+func (r *Router) warmAt(h *Host, at Time) bool { return h.Up == 0 || at-h.Up >= r.limits.Cold }
 
 // strength is the share of its capacity that a host has at the least, as it warms.
 func (r *Router) strength(h *Host) float64 {
@@ -952,7 +967,7 @@
 }
 
 func (r *Router) strengthAt(h *Host, at Time) float64 {
-	if h.Up == 0 || at-h.Up >= r.limits.Cold {
+	if r.warmAt(h, at) {
 		return 1
 	}
 	return r.limits.ColdShare + (1-r.limits.ColdShare)*float64(max(0, at-h.Up))/float64(r.limits.Cold)
@@ -1025,8 +1040,8 @@
 	r.recent = keep(r.recent, x, 200)
 }
 
-// calmShare is what share of a category the desk counted to go wrong at a build before the trial, when all load was
-// its own; as if leaning on so many sends of a usual share.
+// calmShare is what share of a category the desk counted to go wrong at a build before the trial, when all
+// load was its own; as if leaning on so many sends of a usual share.
 func (r *Router) calmShare(before *book, c *Category, usual, kin float64) float64 {
 	bad, n, _ := counted(pickCounts(r.counts, func(x Count) bool {
 		return x.Build == before.build && x.at <= r.offered
@@ -1034,8 +1049,8 @@
 	return part{bad: bad, n: n}.share(part{0.5, 0.5 / usual, 0}, kin)
 }
 
-// blamed is how many answers of a build all routers heard complaints of, among the sends that the desk counted; these
-// come later, so there are never fewer.
+// blamed is how many answers of a build all routers heard complaints of, among the sends that the desk
+// counted; these come later, so there are never fewer.
 func (r *Router) blamed(b *book) part {
 	bad := float64(r.blames[b.build])
 	return part{bad: bad, n: max(1, bad, r.sendsAt(b.build)/max(0.01, r.desk.Counted))}
@@ -1056,17 +1071,26 @@
 	return min(r.jam(near), r.jam(far))
 }
 
+// parts are those of the plan, until it is asked for again.
+func (r *Router) parts(from []*Host) []float64 {
+	r.planned = r.planned[:0]
+	for _, h := range from {
+		r.planned = append(r.planned, h.part)
+	}
+	return r.planned
+}
+
 // drawBy draws a host, each as often as its weight says.
-func (r *Router) drawBy(from []*Host, of func(*Host) float64) *Host {
+func (r *Router) drawBy(from []*Host, weights []float64) *Host {
 	sum := 0.0
-	for _, h := range from {
-		sum += of(h)
+	for _, w := range weights {
+		sum += w
 	}
 	const grain = 1 << 20 // finer than any share that matters
 	at := float64(r.chance(grain)) / grain * sum
-	for _, h := range from {
-		if at -= of(h); at < 0 {
-			return h
+	for i, w := range weights {
+		if at -= w; at < 0 {
+			return from[i]
 		}
 	}
 	return from[len(from)-1]
@@ -1091,9 +1115,8 @@
 	}
 	gap = math.Inf(1)
 	for _, c := range r.cats {
-		of := pickCounts(r.counts, func(x Count) bool { return x.Category == c })
-		g, k := calmer(of, before.build, before.build, r.offered, from, 0)
-		h, l := calmer(of, before.build, r.news.Build, r.offered, from, 0) // in the end it has most of the sends
+		g, k := calmer(r.counts, c, before.build, before.build, r.offered, from, 0)
+		h, l := calmer(r.counts, c, before.build, r.news.Build, r.offered, from, 0) // in the end it has most of the sends
 		if k+l > 0 {
 			gap, n = min(gap, (g*k+h*l)/(k+l)), n+k+l
 		}
@@ -1101,7 +1124,8 @@
 	return gap, n
 }
 
-// tasted is the share of the sends since a moment that went on trial, as the desk counted them, or of the own.
+// tasted is the share of the sends since a moment that went on trial, as the desk counted them, or of the
+// own.
 func (r *Router) tasted(from Time) float64 {
 	at, all := since(r.tried, from, nil), since(r.tried, from, nil)+since(r.flow, from, nil)
 	if r.byDesk() {
--- a/logic/types.go
+++ b/logic/types.go
@@ -40,6 +40,7 @@
 	mid  Time      // what it usually takes at a host that holds nothing else
 	odds float64   // that the build on trial fails it
 	calm Time      // mid when the build on trial was first told
+	out  int       // sends out where they may be told, as waits counted last
 	seen rush      // what became of own sends lately
 	told rush      // and of peers', as they told
 }
@@ -381,6 +382,8 @@
 	here    []*Host // scratch for choices among hosts, so that these take no memory
 	there   []*Host
 	known   []*Host
+	weights []float64 // scratch for shares, and for parts of a plan
+	planned []float64
 	laden   float64   // what a host holds, as the desk counted last
 	ways    [2]repute // own sends of the sides lately
 	shut    bool      // the way to the far side is poor
@@ -388,7 +391,6 @@
 	fellows []int     // peers nearby that were heard last
 	voices  float64   // peers heard lately, faded
 	heardAt Time
-	toldAt  Time
 	blames  map[int]int // complaints by build, of all routers
 	unsaid  map[int]int // and own ones that no peer has been told
 }
@@ -402,6 +404,8 @@
 	all     int // whose build is not on trial; newest is the newest of these builds, which latest of them run
 	newest  int
 	latest  int
+	able    float64 // what hosts whose build is not on trial can do, as of a moment
+	ableAt  Time
 }
 
 // tally is one side's last answers, with running sums of those in a window: whole numbers, so that their order is no
