One way to open and close a router's parts, to hear an event, to write a place

Start closed what it had opened in four copies of a list, the last added with peers; a change of settings heard and recorded its event beside hear; a place was written and read twice in the records. The agents' tests say once how the first build comes to serve. A register that can't be set up is named with its router, as the other parts were.

--- a/internal/agentd/agentd_test.go
+++ b/internal/agentd/agentd_test.go
@@ -161,6 +161,14 @@
 	return digest
 }
 
+// released is the first build, well, ordered to be released and serving.
+func (w *world) released() string {
+	one := w.good(1, "well")
+	w.order(one, "release")
+	w.await(one, agent.Serving)
+	return one
+}
+
 func (w *world) good(version int, how string) string {
 	m, files := w.make(version, how)
 	raw, err := m.Bytes()
@@ -256,9 +264,7 @@
 	w := newWorld(t)
 	a := w.start()
 	defer a.Stop()
-	one := w.good(1, "well")
-	w.order(one, "release")
-	w.await(one, agent.Serving)
+	one := w.released()
 	crash := w.good(2, "crash")
 	w.order(crash, "release")
 	w.await(crash, agent.Failed)
@@ -345,9 +351,7 @@
 	a, err := Start(p, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	defer a.Stop()
-	one := w.good(1, "well")
-	w.order(one, "release")
-	w.await(one, agent.Serving)
+	one := w.released()
 	big := make([]byte, 100_000)
 	m, files := w.make(2, "well")
 	files[build.Digest(big)] = big
@@ -374,9 +378,7 @@
 	w := newWorld(t)
 	a := w.start()
 	defer func() { a.Stop() }()
-	one := w.good(1, "well")
-	w.order(one, "release")
-	w.await(one, agent.Serving)
+	one := w.released()
 	w.controller.Down(true)
 	a.Close() // and is restarted meanwhile
 	a = w.start()
@@ -394,9 +396,7 @@
 	w := newWorld(t)
 	a := w.start()
 	defer a.Stop()
-	one := w.good(1, "well")
-	w.order(one, "release")
-	w.await(one, agent.Serving)
+	one := w.released()
 	starting := w.good(2, "silent")
 	w.order(starting, "serve")
 	require.Eventually(t, func() bool { return len(w.seen("2")) == 1 }, 10*time.Second, time.Millisecond)
@@ -430,9 +430,7 @@
 	a, err := Start(p, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	defer a.Stop()
-	one := w.good(1, "well")
-	w.order(one, "release")
-	w.await(one, agent.Serving)
+	one := w.released()
 	require.Len(t, w.seen("1"), 2)
 	require.Equal(t, "1", answers(a, one))
 }
@@ -508,9 +506,7 @@
 		w.mirrors[0].Put("/ring/2.sigs", sigs)
 	}
 	put(0) // too few: the old ring stays
-	one := w.good(1, "well")
-	w.order(one, "release")
-	w.await(one, agent.Serving)
+	w.released()
 	put(0, 1)
 	two := w.good(2, "well") // by ada and ben, who has no word any more
 	w.order(two, "release")
@@ -537,9 +533,7 @@
 	a, err := Start(p, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	defer a.Stop()
-	one := w.good(1, "well")
-	w.order(one, "release")
-	w.await(one, agent.Serving)
+	one := w.released()
 	r := mathrand.New(mathrand.NewPCG(1, 2))
 	for n := range builds {
 		m, files := w.make(2+n, "well")
--- a/internal/day/switch.go
+++ b/internal/day/switch.go
@@ -19,39 +19,43 @@
 			s.log.Error("no address for peers", "error", err)
 			return
 		}
-		defer c.Close()
 		addresses = append(addresses, c.LocalAddr().String())
 		_ = c.Close()
 	}
-	settle := func(text func(string) string) {
-		for _, x := range s.routers {
-			first, err := os.ReadFile(x.file)
-			if err == nil {
-				err = os.WriteFile(x.file+".next", []byte(text(string(first))), 0o600)
-			}
-			var c *charter.Charter
-			if err == nil {
-				c, err = charter.Read(x.file + ".next")
-			}
-			x.mu.Lock()
-			i := x.instance
-			x.mu.Unlock()
-			if err == nil && i != nil {
-				err = i.Settle(c)
-			}
-			if err != nil {
-				s.log.Error("a router keeps its settings", "router", x.name, "error", err)
-				continue
-			}
-			s.mu.Lock()
-			s.settled++
-			s.mu.Unlock()
+	const next = ".next"
+	for _, x := range s.routers {
+		first, err := os.ReadFile(x.file)
+		if err == nil {
+			text := strings.Replace(string(first), "[rules]\n", "[rules]\ntwo-at-once = off\nmost-sends = 3\n", 1) +
+				"[probes]\npath = /probe\n[peers]\naddresses = " + strings.Join(addresses, ", ") + "\n"
+			err = os.WriteFile(x.file+next, []byte(text), 0o600)
+		}
+		if err != nil {
+			s.log.Error("no other settings", "router", x.name, "error", err)
+			return
 		}
 	}
-	settle(func(first string) string {
-		first = strings.Replace(first, "[rules]\n", "[rules]\ntwo-at-once = off\nmost-sends = 3\n", 1)
-		return first + "[probes]\npath = /probe\n[peers]\naddresses = " + strings.Join(addresses, ", ") + "\n"
-	})
+	s.settle(next)
 	sleep(ctx, t.For)
-	settle(func(first string) string { return first })
+	s.settle("")
+}
+
+// settle lets each router that runs go over to its file with an ending.
+func (s *stage) settle(ending string) {
+	for _, x := range s.routers {
+		c, err := charter.Read(x.file + ending)
+		x.mu.Lock()
+		i := x.instance
+		x.mu.Unlock()
+		if err == nil && i != nil {
+			err = i.Settle(c)
+		}
+		if err != nil {
+			s.log.Error("a router keeps its settings", "router", x.name, "error", err)
+			continue
+		}
+		s.mu.Lock()
+		s.settled++
+		s.mu.Unlock()
+	}
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"reflect"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -88,32 +89,41 @@
 }
 
 // Start starts a router; it listens when Start returns. bend is nil but in tests.
-func Start(c *charter.Charter, log *slog.Logger, bend Bend) (*Instance, error) {
+func Start(c *charter.Charter, log *slog.Logger, bend Bend) (_ *Instance, err error) {
 	i := &Instance{charter: c, log: log.With("router", c.Name), loop: loop.New(), bend: bend, tasks: map[string]*held{},
 		hosts: map[uint32]register.Host{}, became: map[int]map[string]int{}, budget: http1.NewBudget(int64(c.Held)), keep: make(chan []register.Host, 1),
 		kept: make(chan struct{})}
+	var opened []func() // what is closed again, the last first, where a later part can't be opened
+	defer func() {
+		if err != nil {
+			for _, closes := range slices.Backward(opened) {
+				closes()
+			}
+			err = fmt.Errorf("router %s: %w", c.Name, err)
+		}
+	}()
 	var secure *tls.Config
 	if c.Desk.Keys != (keys.Files{}) {
 		ring, err := keys.Open(c.Desk.Keys)
 		if err != nil {
-			return nil, fmt.Errorf("router %s: %w", c.Name, err)
+			return nil, err
 		}
 		secure = ring.Client()
 	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("router %s: %w", c.Name, err)
+		return nil, err
 	}
+	opened = append(opened, func() { _ = listener.Close() })
 	i.address = listener.Addr()
-	if i.engine, err = sock.Start(c.Name, 1); err == nil {
-		if i.far, err = sock.Start(c.Name+" hosts", 1); err != nil {
-			i.engine.Stop()
-		}
+	if i.engine, err = sock.Start(c.Name, 1); err != nil {
+		return nil, err
 	}
-	if err != nil {
-		_ = listener.Close()
-		return nil, fmt.Errorf("router %s: %w", c.Name, err)
+	opened = append(opened, i.engine.Stop)
+	if i.far, err = sock.Start(c.Name+" hosts", 1); err != nil {
+		return nil, err
 	}
+	opened = append(opened, i.far.Stop)
 	if i.register, err = register.New(c.Register.Address, c.Name, c.Register.Names, c.Register.Changes, register.Hear{
 		Listed:   func(whole bool, hosts []register.Host) { i.loop.Do(func() { i.listed(whole, hosts) }) },
 		Rejected: func(err error) { i.log.Warn("host list turned down", "error", err) },
@@ -121,29 +131,17 @@
 			i.log.Warn("host list out of reach", "error", err)
 			i.tell(router.Unlisted{})
 		}}); err != nil {
-		_ = listener.Close()
-		i.engine.Stop()
-		i.far.Stop()
 		return nil, err
 	}
+	opened = append(opened, i.register.Close)
 	if c.Records != nil {
 		if i.records, err = record.Create(*c.Records); err != nil {
-			_ = listener.Close()
-			i.engine.Stop()
-			i.far.Stop()
-			i.register.Close()
-			return nil, fmt.Errorf("router %s: %w", c.Name, err)
+			return nil, err
 		}
+		opened = append(opened, func() { i.noted(i.records.Close()) })
 	}
 	if i.peers, err = i.meet(c); err != nil {
-		_ = listener.Close()
-		i.engine.Stop()
-		i.far.Stop()
-		i.register.Close()
-		if i.records != nil {
-			i.noted(i.records.Close())
-		}
-		return nil, fmt.Errorf("router %s: %w", c.Name, err)
+		return nil, err
 	}
 	go i.keepLists(c.LastList)
 	i.loop.Do(func() { i.begin() })
@@ -218,7 +216,7 @@
 	}
 	var refused error
 	if !i.loop.Do(func() {
-		if refused = i.settled(c.Place); refused == nil {
+		if refused = i.hear(router.Settled{Place: c.Place}); refused == nil {
 			i.charter, i.peers = c, next
 		}
 	}) {
@@ -233,18 +231,6 @@
 	return refused
 }
 
-// settled hands other settings to the mind as one event.
-func (i *Instance) settled(p router.Place) error {
-	e := router.Settled{Place: p}
-	now := i.loop.Now()
-	actions, err := i.mind.Hear(now, e, nil)
-	if i.records != nil {
-		i.noted(i.records.Heard(now, e, actions))
-	}
-	i.act(actions)
-	return err
-}
-
 // Address is where the router listens.
 func (i *Instance) Address() net.Addr { return i.address }
 
@@ -321,20 +307,22 @@
 // tell hands an event in from outside the loop.
 func (i *Instance) tell(e router.Event) { i.loop.Post(func() { i.hear(e) }) }
 
-// hear takes events one after the other, also those that actions bring about.
-func (i *Instance) hear(e router.Event) {
+// hear takes events one after the other, also those that actions bring about. It returns what the mind had against
+// them, which is logged already; those that are brought about while others are taken have to wait, and nothing to say.
+func (i *Instance) hear(e router.Event) (err error) {
 	i.inbox = append(i.inbox, e)
 	if i.busy {
-		return
+		return nil
 	}
 	i.busy = true
 	for len(i.inbox) > 0 {
 		e := i.inbox[0]
 		i.inbox = i.inbox[1:]
 		now := i.loop.Now()
-		actions, err := i.mind.Hear(now, e, i.spare[:0])
-		if err != nil {
-			i.log.Warn("an event makes no sense", "error", err)
+		actions, wrong := i.mind.Hear(now, e, i.spare[:0])
+		if wrong != nil {
+			i.log.Warn("an event makes no sense", "error", wrong)
+			err = errors.Join(err, wrong)
 		}
 		i.spare = actions
 		if i.records != nil {
@@ -346,6 +334,7 @@
 		i.act(actions)
 	}
 	i.inbox, i.busy = nil, false
+	return err
 }
 
 // noted logs what could not be recorded.
@@ -561,8 +550,9 @@
 	if p.Path == "" {
 		return
 	}
-	head := "GET " + p.Path + " HTTP/1.1\r\nHost: " + i.address.String() + "\r\nDapplefront-Router: " + i.charter.Name + "\r\n\r\n"
-	i.pool.Send(host, []byte(head), nil, false, loop.Span(p.Within), func(r back.Result) {
+	head := http1.AppendField([]byte("GET "+p.Path+" HTTP/1.1\r\n"), "Host", i.address.String())
+	head = append(http1.AppendField(head, "Dapplefront-Router", i.charter.Name), "\r\n"...)
+	i.pool.Send(host, head, nil, false, loop.Span(p.Within), func(r back.Result) {
 		if r.Answer != nil {
 			r.Answer.Drop()
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -9,10 +9,12 @@
 	"net/netip"
 	"slices"
 	"sync/atomic"
+
+	"dapplefront/logic"
 )
 
 // Everyone stands for all other routers.
-const Everyone = -1
+const Everyone = logic.Everyone
 
 // Circle is what a router is told of its peers.
 type Circle struct {
--- a/record/wire.go
+++ b/record/wire.go
@@ -72,20 +72,10 @@
 	b.int(2, int64(e.At))
 	switch {
 	case e.Place != nil:
-		text, err := json.Marshal(veiled(*e.Place, hide))
-		if err != nil {
+		if err := appendPlace(&b, 3, *e.Place, hide); err != nil {
 			return b, err
 		}
-		b.message(3, func(b *out) { b.text(1, string(text)) })
 	default:
-		if x, ok := e.Event.(router.Settled); ok {
-			text, err := json.Marshal(veiled(x.Place, hide))
-			if err != nil {
-				return b, err
-			}
-			b.message(16, func(b *out) { b.text(1, string(text)) })
-			break
-		}
 		if err := appendEvent(&b, e.Event, hide); err != nil {
 			return b, err
 		}
@@ -96,15 +86,27 @@
 	return b, nil
 }
 
-// veiled is a place whose customers are not named.
-func veiled(p router.Place, hide hidden) router.Place {
+// appendPlace writes a place as JSON, with customers not named.
+func appendPlace(b *out, field protowire.Number, p router.Place, hide hidden) error {
 	named := p.Customers
 	p.Customers = nil
 	for _, c := range named {
 		c.Name = hide(c.Name)
 		p.Customers = append(p.Customers, c)
 	}
-	return p
+	text, err := json.Marshal(p)
+	b.message(field, func(b *out) { b.text(1, string(text)) })
+	return err
+}
+
+func readPlace(b []byte) (p *router.Place, err error) {
+	return p, fields(b, func(f field) error {
+		if f.number != 1 {
+			return nil
+		}
+		p = &router.Place{}
+		return json.Unmarshal(f.bytes, p)
+	})
 }
 
 func appendLoad(b *out, field protowire.Number, l *logic.Load) {
@@ -196,6 +198,8 @@
 		b.message(12, func(b *out) { b.number(1, uint64(e.Host)); b.text(2, e.Category); b.int(3, int64(e.Age)) })
 	case router.Due:
 		b.int(13, e.Alarm+1)
+	case router.Settled:
+		return appendPlace(b, 16, e.Place, hide)
 	case router.Heard:
 		b.message(17, func(b *out) { b.int(1, int64(e.Peer)); b.text(2, e.Body) })
 	case router.Probed:
@@ -294,13 +298,8 @@
 		case 2:
 			e.At = f.time()
 		case 3:
-			return fields(f.bytes, func(f field) error {
-				if f.number != 1 {
-					return nil
-				}
-				e.Place = &router.Place{}
-				return json.Unmarshal(f.bytes, e.Place)
-			})
+			e.Place, err = readPlace(f.bytes)
+			return err
 		case 4:
 			x := router.Taken{}
 			err := fields(f.bytes, func(f field) error {
@@ -456,15 +455,11 @@
 			e.Actions = append(e.Actions, a)
 			return err
 		case 16:
-			return fields(f.bytes, func(f field) error {
-				if f.number != 1 {
-					return nil
-				}
-				x := router.Settled{}
-				err := json.Unmarshal(f.bytes, &x.Place)
-				e.Event = x
-				return err
-			})
+			p, err := readPlace(f.bytes)
+			if p != nil {
+				e.Event = router.Settled{Place: *p}
+			}
+			return err
 		case 17:
 			x := router.Heard{}
 			err := fields(f.bytes, func(f field) error {
