--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,321 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestATaskPassesOnUnchangedAndItsAnswerComesBack(t *testing.T) {
+	m := newMachine(t, "a", right)
+	r := start(t, m)
+	for len(m.seen) > 0 {
+		<-m.seen
+	}
+	got, id := r.ask("POST", "order", "Idempotency-Key: k1")
+	require.Equal(t, 200, got.status)
+	require.Equal(t, "for "+id, got.body)
+	q := <-m.seen
+	require.Equal(t, "/api?x=1", q.URL.String())
+	require.Equal(t, "POST", q.Method)
+	require.Equal(t, "k1", q.Header.Get("Idempotency-Key"))
+	require.Equal(t, id, q.Header.Get("Request-Id"))
+	require.Regexp(t, `^[1-9][0-9]{0,2}$`, q.Header.Get("Request-Timeout-Ms"))
+	require.Equal(t, "service", q.Host)
+	c := r.client()
+	_, _ = io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.Equal(t, 200, c.read().status)
+}
+
+// What can't be taken as a task gets an error or a close, and no host hears of it.
+func TestBadClientsGetAnErrorOrACloseAndHostsHearNothing(t *testing.T) {
+	m := newMachine(t, "a", right)
+	r := start(t, m)
+	usual := "Request-Id: x1\r\nRequest-Class: quote\r\nRequest-Timeout-Ms: 900\r\n"
+	get, pay := "GET /api HTTP/1.1\r\nHost: s\r\n", "POST /api HTTP/1.1\r\nHost: s\r\n"
+	bad := map[string]string{
+		"noise":                    "\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+		"no request":               "hello there\r\n\r\n",
+		"a length beside chunks":   pay + strings.Replace(usual, "quote", "pay", 1) + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /api HTTP/1.1\r\nHost: s\r\n" + usual + "\r\n",
+		"chunks spelt oddly":       pay + strings.Replace(usual, "quote", "pay", 1) + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"two lengths":              pay + strings.Replace(usual, "quote", "pay", 1) + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi!",
+		"a negative length":        pay + strings.Replace(usual, "quote", "pay", 1) + "Content-Length: -2\r\n\r\nhi",
+		"a huge length":            pay + strings.Replace(usual, "quote", "pay", 1) + "Content-Length: 99999999999999999999\r\n\r\nhi",
+		"60 MB":                    pay + strings.Replace(usual, "quote", "pay", 1) + "Content-Length: 60000000\r\n\r\n" + strings.Repeat("x", 1<<20),
+		"a head without end":       get + "X: " + strings.Repeat("x", 40<<10),
+		"an unknown category":      get + strings.Replace(usual, "quote", "zzz", 1) + "\r\n",
+		"no category":              get + "Request-Id: x1\r\nRequest-Timeout-Ms: 900\r\n\r\n",
+		"no id":                    get + "Request-Class: quote\r\nRequest-Timeout-Ms: 900\r\n\r\n",
+		"an empty id":              get + "Request-Id:\r\nRequest-Class: quote\r\nRequest-Timeout-Ms: 900\r\n\r\n",
+		"two ids":                  get + "Request-Id: x2\r\n" + usual + "\r\n",
+		"no patience":              get + "Request-Id: x1\r\nRequest-Class: quote\r\n\r\n",
+		"patience that is no time": get + strings.Replace(usual, "900", "soon", 1) + "\r\n",
+		"patience of nothing":      get + strings.Replace(usual, "900", "0", 1) + "\r\n",
+		"patience below nothing":   get + strings.Replace(usual, "900", "-5", 1) + "\r\n",
+		"patience with a point":    get + strings.Replace(usual, "900", "9.5", 1) + "\r\n",
+		"patience beyond numbers":  get + strings.Replace(usual, "900", "99999999999999999999", 1) + "\r\n",
+		"another method":           strings.Replace(get, "GET", "POST", 1) + usual + "Content-Length: 2\r\n\r\nhi",
+		"a method not served":      strings.Replace(get, "GET", "PUT", 1) + usual + "Content-Length: 2\r\n\r\nhi",
+		"a body where none may be": get + usual + "Content-Length: 2\r\n\r\nhi",
+		"no key":                   pay + strings.Replace(usual, "quote", "order", 1) + "Content-Length: 2\r\n\r\nhi",
+		"a key where none may be":  pay + strings.Replace(usual, "quote", "pay", 1) + "Idempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi",
+		"a hint that is no number": get + usual + "Work-Hint: lots\r\n\r\n",
+		"half a request":           pay + strings.Replace(usual, "quote", "pay", 1) + "Content-Length: 9\r\n\r\nhi",
+		"half a head":              get + "Request-",
+		"nothing":                  "",
+	}
+	before := m.tasks.Load()
+	var all sync.WaitGroup
+	for name, text := range bad {
+		c := r.client()
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			go func() { _, _ = io.WriteString(c, text) }()
+			if got := c.read(); got.status != 0 && (got.status < 400 || got.status > 599) {
+				t.Errorf("%s: answered with %d", name, got.status)
+			}
+			if _, err := io.Copy(io.Discard, c.in); err != nil && strings.Contains(err.Error(), "timeout") {
+				t.Errorf("%s: the connection stays open", name)
+			}
+		}()
+	}
+	got, _ := r.ask("GET", "quote", "")
+	require.Equal(t, 200, got.status, "usual clients go on")
+	all.Wait()
+	require.Equal(t, before+1, m.tasks.Load(), "nothing else came to a host")
+}
+
+func TestTheIdOfAnOpenTaskIsTurnedDownAndTheTaskGoesOn(t *testing.T) {
+	goOn := make(chan bool)
+	m := newMachine(t, "a", func(c net.Conn, r *http.Request, b []byte) bool {
+		if r.Method == "POST" {
+			<-goOn
+		}
+		return right(c, r, b)
+	})
+	r := start(t, m)
+	c, d := r.client(), r.client()
+	text, id := request("POST", "pay")
+	_, _ = io.WriteString(c, text)
+	r.until(func() bool { tasks, _, _, _ := r.node.instance.Held(); return tasks == 1 })
+	_, _ = io.WriteString(d, text)
+	require.Equal(t, 400, d.read().status)
+	goOn <- true
+	got := c.read()
+	require.Equal(t, 200, got.status)
+	require.Equal(t, "for "+id, got.body)
+	_, _ = io.WriteString(c, text)
+	goOn <- true
+	require.Equal(t, 200, c.read().status, "once it is answered the id is free")
+}
+
+func TestSilentConnectionsMakeRoomForThoseThatAsk(t *testing.T) {
+	r := start(t, newMachine(t, "a", right))
+	for range 2 * r.node.post.Charter.Welcome.Links {
+		r.client()
+	}
+	r.until(func() bool { got, _ := r.ask("GET", "quote", ""); return got.status == 200 })
+	_, guests, _, _ := r.node.instance.Held()
+	require.LessOrEqual(t, guests, r.node.post.Charter.Welcome.Links)
+}
+
+// What a host's answer means for a task that must not run twice: only what surely never ran goes to another host.
+func TestWhatHostsSayOfABindingTask(t *testing.T) {
+	id := func(r *http.Request) string { return "for " + r.Header.Get("Request-Id") }
+	for name, x := range map[string]struct {
+		serve  func(net.Conn, *http.Request) bool
+		status int // of the answer; 200 is the other host's, or this one's where it is right
+		again  bool
+	}{
+		"turned away by 503": {func(c net.Conn, _ *http.Request) bool { say(c, 503, "", "Not-Started: 1"); return true }, 200, true},
+		"turned away by 504": {func(c net.Conn, _ *http.Request) bool { say(c, 504, "", "Not-Started: 1"); return true }, 200, true},
+		"503 alone":          {func(c net.Conn, _ *http.Request) bool { say(c, 503, ""); return true }, 502, false},
+		"500 that claims so": {func(c net.Conn, _ *http.Request) bool { say(c, 500, "", "Not-Started: 1"); return true }, 502, false},
+		"404":                {func(c net.Conn, _ *http.Request) bool { say(c, 404, "x"); return true }, 502, false},
+		"cut":                {func(net.Conn, *http.Request) bool { return false }, 502, false},
+		"cut in the answer": {func(c net.Conn, _ *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+			return false
+		}, 502, false},
+		"no length":         {func(c net.Conn, r *http.Request) bool { fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n", id(r)); return false }, 502, false},
+		"noise":             {func(c net.Conn, _ *http.Request) bool { fmt.Fprint(c, "\x00\x01zzz\r\n\r\n"); return true }, 502, false},
+		"noise like a head": {func(c net.Conn, _ *http.Request) bool { fmt.Fprint(c, "HTTP/1.1 2zz\r\n\r\n"); return true }, 502, false},
+		"a head without end": {func(c net.Conn, _ *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 40<<10))
+			return true
+		}, 502, false},
+		"3 GB": {func(c net.Conn, _ *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxx")
+			return true
+		}, 502, false},
+		"silence": {func(net.Conn, *http.Request) bool { return true }, 504, false},
+		"1xx in front": {func(c net.Conn, r *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n")
+			say(c, 200, id(r))
+			return true
+		}, 200, false},
+		"an odd load report":   {func(c net.Conn, r *http.Request) bool { say(c, 200, id(r), "Server-Load: active=lots,,"); return true }, 200, false},
+		"more than its answer": {func(c net.Conn, r *http.Request) bool { say(c, 200, id(r)); say(c, 200, "again"); return true }, 200, false},
+		"noise behind":         {func(c net.Conn, r *http.Request) bool { say(c, 200, id(r)); fmt.Fprint(c, "zzz"); return true }, 200, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var once sync.Once
+			first := make(chan string, 1)
+			serve := func(c net.Conn, q *http.Request, b []byte) bool {
+				if q.Method != "POST" {
+					return right(c, q, b)
+				}
+				strange := false
+				once.Do(func() { strange = true; first <- q.Header.Get("Request-Id") })
+				if strange {
+					return x.serve(c, q)
+				}
+				return right(c, q, b)
+			}
+			a, b := newMachine(t, "a", serve), newMachine(t, "b", serve)
+			r := start(t, a, b)
+			before := a.tasks.Load() + b.tasks.Load()
+			got, id := r.ask("POST", "pay", "")
+			require.Equal(t, id, <-first)
+			require.Equal(t, x.status, got.status)
+			if got.status == 200 {
+				require.Equal(t, "for "+id, got.body)
+			}
+			sends := a.tasks.Load() + b.tasks.Load() - before
+			require.Equal(t, map[bool]int64{false: 1, true: 2}[x.again], sends)
+			for range 4 { // whatever came behind is nobody's answer
+				got, id := r.ask("GET", "quote", "")
+				require.Equal(t, 200, got.status)
+				require.Equal(t, "for "+id, got.body)
+			}
+		})
+	}
+}
+
+func TestATurnBackNamesATimeToComeBack(t *testing.T) {
+	m := newMachine(t, "a", func(c net.Conn, r *http.Request, b []byte) bool {
+		if r.Method == "POST" {
+			say(c, 503, "", "Not-Started: 1")
+			return true
+		}
+		return right(c, r, b)
+	})
+	r := start(t, m)
+	got, _ := r.ask("POST", "pay", "")
+	require.Equal(t, 503, got.status)
+	require.Regexp(t, `^\d+\.\d+$`, got.Get("Retry-After"))
+}
+
+func TestOtherAddressesAreGoneOverToWithoutATaskLost(t *testing.T) {
+	m := newMachine(t, "a", right)
+	r := start(t, m)
+	next := newPlace(t, m.entry())
+	stop, done := make(chan bool), make(chan int)
+	go func() {
+		n := 0
+		for {
+			select {
+			case <-stop:
+				done <- n
+				return
+			default:
+			}
+			if got, _ := r.ask("GET", "quote", ""); got.status != 200 {
+				t.Errorf("answered with %d", got.status)
+			}
+			n++
+		}
+	}()
+	b := brief(next.address(), next.address())
+	b["seed"] = "1"
+	require.NoError(t, r.node.Settle(post(t, b)))
+	r.until(func() bool { return next.asked.Load() == 2 })
+	r.place.CloseClientConnections()
+	next.said <- `{"revision":3,"complete":false,"members":[` + strings.Replace(m.entry(), `"a"`, `"b"`, 1) + `]}`
+	r.until(func() bool { _, known := r.node.watch.Number("b", time.Now()); return known })
+	close(stop)
+	require.Positive(t, <-done)
+	other := brief(next.address(), next.address())
+	other["name"] = "n9"
+	require.Error(t, r.node.Settle(post(t, other)))
+	other = brief(next.address(), next.address())
+	other["settings"].(map[string]any)["MyZone"] = "elsewhere"
+	require.ErrorContains(t, r.node.Settle(post(t, other)), "location")
+}
+
+func TestAPlannedEndServesWhatStillComesAndAnswersAllItHolds(t *testing.T) {
+	goOn := make(chan bool)
+	m := newMachine(t, "a", func(c net.Conn, r *http.Request, b []byte) bool {
+		if r.Method == "POST" {
+			<-goOn
+		}
+		return right(c, r, b)
+	})
+	r := start(t, m)
+	held, kept := r.client(), r.client()
+	text, _ := request("POST", "order", "Idempotency-Key: k")
+	_, _ = io.WriteString(held, text)
+	r.until(func() bool { tasks, _, _, _ := r.node.instance.Held(); return tasks == 1 })
+	ended := make(chan int)
+	n := r.node
+	r.node = nil
+	n.instance.Bow()
+	text, _ = request("GET", "quote")
+	_, _ = io.WriteString(kept, text)
+	got := kept.read()
+	require.Equal(t, 200, got.status, "a connection that was there before is served")
+	require.True(t, got.closes)
+	c, err := net.Dial("tcp", n.instance.Address().String())
+	require.NoError(t, err, "new ones still come")
+	_ = c.Close()
+	go func() { ended <- n.Retire(nil) }()
+	close(goOn)
+	require.Equal(t, 200, held.read().status)
+	require.Zero(t, <-ended)
+}
+
+func TestAConfigurationThatCanNotBeSaysWhatAndWhere(t *testing.T) {
+	read := func(text string) error {
+		file := filepath.Join(t.TempDir(), "config.json")
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		_, err := Read(file)
+		require.ErrorContains(t, err, file)
+		return err
+	}
+	require.ErrorContains(t, read(`{"name":"n0",`), "byte")
+	require.Error(t, read(`[]`))
+	for where, change := range map[string]func(map[string]any){
+		"name":                func(b map[string]any) { b["name"] = "" },
+		"listen":              func(b map[string]any) { b["listen"] = "here" },
+		"discovery":           func(b map[string]any) { b["discovery"] = "127.0.0.1" },
+		"platform.address":    func(b map[string]any) { b["platform"].(map[string]any)["address"] = "127.0.0.1:0" },
+		"platform.news":       func(b map[string]any) { b["platform"].(map[string]any)["news"] = map[string]any{"release": 1} },
+		"seed":                func(b map[string]any) { b["seed"] = "zz" },
+		"limits":              func(b map[string]any) { b["limits"] = map[string]any{"cores": 0.5} },
+		"known: members[0]":   func(b map[string]any) { b["known"] = map[string]any{"members": []any{map[string]any{"id": "a"}}} },
+		"settings":            func(b map[string]any) { b["settings"] = []any{1} },
+		"settings.Categories": func(b map[string]any) { b["settings"].(map[string]any)["Categories"] = []any{} },
+		"settings.MyZone":     func(b map[string]any) { delete(b["settings"].(map[string]any), "MyZone") },
+		"settings.Rank":       func(b map[string]any) { b["settings"].(map[string]any)["Rank"] = 7 },
+	} {
+		b := brief("127.0.0.1:1", "127.0.0.1:2")
+		change(b)
+		require.ErrorContains(t, read(encode(t, b)), where)
+	}
+	p := post(t, brief("127.0.0.1:1", "127.0.0.1:2"))
+	p.Charter.Listen = "127.0.0.1:99999"
+	_, err := Start(p, slog.New(slog.DiscardHandler))
+	require.Error(t, err)
+}
--- /dev/null
+++ b/internal/node/rig_test.go
@@ -0,0 +1,268 @@
+package node
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// place is the platform's services at one address: list, feed and votes.
+type place struct {
+	*httptest.Server
+	mu      sync.Mutex
+	members []string
+	votes   atomic.Int64
+	asked   atomic.Int64 // watches and feeds
+	said    chan string  // lines of the watch, beside its first
+}
+
+func newPlace(t *testing.T, members ...string) *place {
+	p := &place{members: members, said: make(chan string, 10)}
+	p.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		say := func(text string) { fmt.Fprint(w, text+"\n"); w.(http.Flusher).Flush() }
+		switch r.URL.Path {
+		case "/v1/endpoints":
+			p.asked.Add(1)
+			p.mu.Lock()
+			say(`{"revision":2,"complete":true,"members":[` + strings.Join(p.members, ",") + `]}`)
+			p.mu.Unlock()
+			for {
+				select {
+				case text := <-p.said:
+					say(text)
+				case <-time.After(500 * time.Millisecond):
+					say("")
+				case <-r.Context().Done():
+					return
+				}
+			}
+		case "/apis/fleet/feed":
+			p.asked.Add(1)
+			say(`{"type":"stage","object":` + news + `}`)
+			for r.Context().Err() == nil {
+				say("{}")
+				time.Sleep(100 * time.Millisecond)
+			}
+		default:
+			p.votes.Add(1)
+			fmt.Fprint(w, news)
+		}
+	}))
+	t.Cleanup(func() { p.CloseClientConnections(); p.Close() })
+	return p
+}
+
+func (p *place) address() string { return p.Listener.Addr().String() }
+
+const news = `{"release":1,"tranche":0,"mode":"live","exposure":1,"old_ms":9000}`
+
+// machine is a host whose answers a test writes itself.
+type machine struct {
+	net.Listener
+	id    string
+	tasks atomic.Int64
+	links atomic.Int64
+	seen  chan *http.Request
+}
+
+// newMachine serves whole requests; serve returns false to end the connection.
+func newMachine(t *testing.T, id string, serve func(c net.Conn, r *http.Request, body []byte) bool) *machine {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	m := &machine{Listener: l, id: id, seen: make(chan *http.Request, 1000)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			m.links.Add(1)
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(r.Body)
+					if err != nil {
+						return
+					}
+					m.tasks.Add(1)
+					select {
+					case m.seen <- r:
+					default:
+					}
+					if !serve(c, r, body) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return m
+}
+
+func (m *machine) entry() string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"here","cell":0,"phase":"up","size":1,"up_since_ms":0,"revision_no":1}`, m.id, m.Addr())
+}
+
+func say(c net.Conn, status int, body string, fields ...string) {
+	head := ""
+	for _, f := range fields {
+		head += f + "\r\n"
+	}
+	fmt.Fprintf(c, "HTTP/1.1 %d Told\r\n%sContent-Length: %d\r\n\r\n%s", status, head, len(body), body)
+}
+
+// right answers with the task's own id.
+func right(c net.Conn, r *http.Request, _ []byte) bool {
+	say(c, 200, "for "+r.Header.Get("Request-Id"), "Server-Load: active=1,rps=2,avg_ms=3")
+	return true
+}
+
+// brief is a configuration for a router with these services.
+func brief(list, desk string) map[string]any {
+	kind := func(name, repeat string, deadline int) map[string]any {
+		return map[string]any{"Name": name, "Semantics": repeat, "AimUs": 300000, "DeadlineUs": deadline, "Importance": 1,
+			"LateValue": 0, "DedupScope": "all", "WindowUs": 5000000}
+	}
+	var first any
+	_ = json.Unmarshal([]byte(news), &first)
+	return map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": list, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 0.5, "memory_mb": 64, "sockets": 256},
+		"platform": map[string]any{"address": desk, "news": first},
+		"known":    map[string]any{"revision": 1, "complete": true, "members": []any{}},
+		"settings": map[string]any{"Balancers": 1, "Rank": 0, "MyZone": "here", "RegistryMode": "on_request",
+			"Categories": []any{kind("quote", "repeatable", 1000000), kind("order", "by_key", 1000000), kind("pay", "once", 600000)},
+			"Parties":    []any{}, "Report": map[string]any{"Fields": []string{"rps", "avg_ms", "active"}},
+			"Obligations": map[string]any{"DrainGraceUs": 300000, "ColdUs": 1000000, "StartCapacity": 0.3, "TipMultiple": 4,
+				"OverloadForUs": 3000000, "AskWithinUs": 1500000},
+			"Permissions": map[string]any{"MaxAttempts": 3, "MaxOpen": 1000, "RetryAfter": true, "MaxRetryAfterUs": 2000000,
+				"ConnIdleUs": 15000000, "ConnectTimeoutUs": 250000},
+			"Extra": map[string]any{"Control": "share", "StageCap": []float64{0.1, 1}, "AyesNeeded": 1, "ToAbort": 1,
+				"CallTimeoutUs": 500000, "ExposureWindowUs": 1000000, "VoteStandsUs": 5000000, "VoteAllowance": 5}}}
+}
+
+func post(t *testing.T, b map[string]any) *Post {
+	p, err := parse([]byte(encode(t, b)))
+	require.NoError(t, err)
+	return p
+}
+
+// rig is one router on a platform of stand-ins.
+type rig struct {
+	*testing.T
+	node  *Node
+	place *place
+	brief map[string]any
+}
+
+func start(t *testing.T, machines ...*machine) *rig {
+	var members []string
+	for _, m := range machines {
+		members = append(members, m.entry())
+	}
+	r := &rig{T: t, place: newPlace(t, members...)}
+	r.brief = brief(r.place.address(), r.place.address())
+	var err error
+	r.node, err = Start(post(t, r.brief), slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if r.node != nil {
+			r.node.Kill()
+		}
+	})
+	require.Eventually(t, func() bool { return r.place.asked.Load() == 2 }, 10*time.Second, time.Millisecond)
+	for _, m := range machines { // the list has come once each of them has answered
+		r.until(func() bool { r.ask("GET", "quote", ""); return m.tasks.Load() > 0 })
+	}
+	return r
+}
+
+func (r *rig) until(is func() bool) {
+	r.Helper()
+	require.Eventually(r, is, 20*time.Second, time.Millisecond)
+}
+
+// client is a raw connection to the router.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (r *rig) client() *client {
+	r.Helper()
+	c, err := net.Dial("tcp", r.node.instance.Address().String())
+	require.NoError(r, err)
+	r.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return &client{c, bufio.NewReader(c)}
+}
+
+// answer is what a client got: status 0 for a connection that ended before one.
+type answer struct {
+	status int
+	body   string
+	closes bool
+	http.Header
+}
+
+func (c *client) read() answer {
+	got, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return answer{}
+	}
+	body, err := io.ReadAll(got.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{got.StatusCode, string(body), got.Close, got.Header}
+}
+
+var ids atomic.Int64
+
+// request is one that a usual client sends, under an id of its own.
+func request(method, category string, fields ...string) (text, id string) {
+	id = fmt.Sprintf("id%d", ids.Add(1))
+	text = method + " /api?x=1 HTTP/1.1\r\nHost: service\r\nRequest-Id: " + id + "\r\nRequest-Class: " + category +
+		"\r\nRequest-Timeout-Ms: 900\r\n"
+	for _, f := range fields {
+		if f != "" {
+			text += f + "\r\n"
+		}
+	}
+	if method == "POST" {
+		return text + "Content-Length: 2\r\n\r\nhi", id
+	}
+	return text + "\r\n", id
+}
+
+func (r *rig) ask(method, category, field string) (answer, string) {
+	r.Helper()
+	c := r.client()
+	defer c.Close()
+	text, id := request(method, category, field)
+	_, _ = io.WriteString(c, text)
+	return c.read(), id
+}
+
+func encode(t *testing.T, b map[string]any) string {
+	text, err := json.Marshal(b)
+	require.NoError(t, err)
+	return string(text)
+}
