Copies keep off a host on trial that holds more than most; cut sends count in the budget

Samples of each send (reload): one host on trial answered nothing after 1.2 s of age, and this router alone put 13, then 29 copies on it at held 1 to 28; 57 of 62 timed out, and with three such hosts the odds reached 260. Other sends at that moment came in time. Excluded: the program's fates (no cuts, no links refused, 0 idle closes), load reports (read, and the held figures follow them), clocks. At fault: onTrial bounded copies by rate alone, so a pause or a cold start piles up a line that no earlier host gets, as originals take the less busy of two. Now a copy goes only where the host holds at most one more than most do. Also: more() did not count what followed a send that this router had cut short, so spare() never bounded cuts.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -287,6 +287,7 @@
 	const taste = 0.25                          // of what earlier hosts get, effects not yet judged
 	const cleared, guilty, fails = 0.1, 10, 0.3 // odds; what a bad build fails of a category, more or less
 	const lately, least, all = 2 * Second, 2, 8 // a while, copies in it of each router at the least, and of all
+	const spare = 1.0                           // tasks beyond what hosts hold: a line that copies make is no build's
 	n, c := r.news, t.Category
 	alone := r.ballot.voice == Back && r.desk.ToAbort <= 1 // others may not agree, and more copies change a mind
 	if !r.heard || n.Phase != OnTrial || alone || r.resting() || !r.room(n.Build, c) {
@@ -316,8 +317,9 @@
 	if due < 0 || c.Repeat != Retriable && n.Stage == 0 {
 		return nil
 	}
+	usual := r.holds()
 	return r.pick(t, func(h *Host) bool { // a sick one is judged too, but not at the cost of an effect
-		return on(h) && (h.health != sick || c.Repeat == Retriable) &&
+		return on(h) && (h.health != sick || c.Repeat == Retriable) && r.held(h) <= spare+usual &&
 			since(h.sent, r.now-lately, nil) < max(1, each*r.able(h)) // not what others are too cold for
 	})
 }
@@ -471,7 +473,7 @@
 	if h == nil {
 		return false
 	}
-	if !first {
+	if last.role != lone {
 		r.extra = keep(r.extra, moment{at: r.now, cat: t.Category}, 2048)
 	}
 	r.send(t, h, further)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -291,6 +291,43 @@
 	require.LessOrEqual(t, n[list[6].Host], 40/6+2) // what an earlier host gets, and a little
 }
 
+func TestCopiesMakeNoLineAtAHostOnTrial(t *testing.T) {
+	f, list := begin(t, nil)
+	f.serve(120, f.quote, fine)
+	f.r.Told(f.now, News{Build: 2, Stage: 1, Cap: 1})
+	trial := list[6].Host
+	most := 0
+	for range 60 { // it pauses while the others answer
+		t := f.take(f.quote)
+		f.pass(Second / 20)
+		for _, s := range t.Sends {
+			if s.Host != trial {
+				f.end(s, Finished, Second/20)
+			}
+		}
+		most = max(most, len(trial.open))
+	}
+	require.Positive(t, most)
+	require.LessOrEqual(t, most, 2)
+}
+
+func TestSendsCutShortCountInTheBudgetOfFurtherOnes(t *testing.T) {
+	f, _ := begin(t, func(p *Place) { p.Limits.TwoAtOnce = false })
+	f.serve(120, f.quote, fine)
+	cut := 0
+	for range 200 { // all hosts are slower than before
+		t := f.take(f.quote)
+		f.pass(Second / 40)
+		if s := t.Sends[0]; f.within[s] < t.Patience {
+			cut++
+			f.end(s, NoAnswer, f.within[s])
+		}
+		f.end(t.Sends[len(t.Sends)-1], Finished, Second/20)
+	}
+	require.Positive(t, cut)
+	require.Less(t, cut, 60) // one for every eight tasks of the last five seconds, and a few
+}
+
 func TestATroubleThatBeginsDuringATrialDoesNotSpeakAgainstTheBuild(t *testing.T) {
 	var fresh, peers []sample
 	for i := range Time(200) { // errors come in the last two of ten seconds, when copies have become many
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -985,6 +985,18 @@
 	return some
 }
 
+// holds is what most hosts hold at the most, as they reported or the desk counted, or as own sends say.
+func (r *Router) holds() float64 {
+	switch m := r.standing(); {
+	case len(r.reports) > 0:
+		return above(r.reports, 0.5)
+	case r.counting():
+		return r.laden
+	default:
+		return float64((m.out[near]+m.out[far])*r.routers) / float64(max(1, m.well[near]+m.well[far]))
+	}
+}
+
 // share is how many of the last ended sends are of a kind.
 func (r *Router) share(last int, is func(moment) bool) (share float64) {
 	for _, x := range r.done[max(0, len(r.done)-last):] {
