Originals are judged by the time that a copy is given; own swells alone convict no build

(1) odds 260 over all categories, none in one: where no second copies are allowed a copy is cut at max(lingersAt, promised/3), an original only where another send can still come in time; in a slow spell originals waited and finished, copies failed. At fault: learn() booked both as they ended. An original that took longer than a copy is given now counts as one cut short. (2) odds 400 by the swell alone, at two routers in one trouble of the fleet: copies take load off the earlier hosts where they come before their originals, so resting and going on make the swell by themselves. Seen by own sends it weighs 30 now, and a proof ends after 15 s, as copies would rest for ever. Excluded: fates (spoilt answers are 2 in 100 at either build), list and news.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -287,7 +287,6 @@
 	const taste = 0.25                          // of what earlier hosts get, effects not yet judged
 	const cleared, guilty, fails = 0.1, 10, 0.3 // odds; what a bad build fails of a category, more or less
 	const lately, least, all = 2 * Second, 2, 8 // a while, copies in it of each router at the least, and of all
-	const spare = 1.0                           // tasks beyond what hosts hold: a line that copies make is no build's
 	n, c := r.news, t.Category
 	alone := r.ballot.voice == Back && r.desk.ToAbort <= 1 // others may not agree, and more copies change a mind
 	if !r.heard || n.Phase != OnTrial || alone || r.resting() || !r.room(n.Build, c) {
@@ -317,9 +316,9 @@
 	if due < 0 || c.Repeat != Retriable && n.Stage == 0 {
 		return nil
 	}
-	usual := r.holds()
+	most := r.holds() + 1                 // tasks: a line that copies make is no build's fault
 	return r.pick(t, func(h *Host) bool { // a sick one is judged too, but not at the cost of an effect
-		return on(h) && (h.health != sick || c.Repeat == Retriable) && r.held(h) <= spare+usual &&
+		return on(h) && (h.health != sick || c.Repeat == Retriable) && r.held(h) <= most &&
 			since(h.sent, r.now-lately, nil) < max(1, each*r.able(h)) // not what others are too cold for
 	})
 }
@@ -437,13 +436,14 @@
 		slowest = above(t.Category.took, 0.05)
 	}
 	lingersAt := max(slowest*3/2, t.Category.mid*2) // beyond 19 in 20, with some slack
+	s.fair = min(within, Time(float64(max(lingersAt, t.Category.Promised/3))/r.strength(h)))
 	switch {
 	case !t.Category.mayRepeat():
 	case r.limits.TwoAtOnce && how != copied:
 		r.hands.WakeUp(lingersAt, &Alarm{send: s})
 	case r.limits.TwoAtOnce || len(t.Sends) >= r.limits.MaxSends:
 	case how == lone: // it leaves its original the time to answer; a cold host is slow
-		within = min(within, Time(float64(max(lingersAt, t.Category.Promised/3))/r.strength(h)))
+		within = s.fair
 	case t.at+t.Category.Promised-r.now-t.Category.mid > lingersAt && r.spare(t.Category):
 		within = min(within, lingersAt)
 	}
@@ -566,8 +566,10 @@
 	case x.well():
 		in = works
 	}
-	// An original that had nowhere else to go, as when a release is told after the earlier hosts left, is no copy.
-	if on, _, _ := r.trial(s.build); in != refuses && (s.Copied() || !on) {
+	if on, _, _ := r.trial(s.build); in != refuses && (s.Copied() || !on) { // who had nowhere else is no copy
+		if !s.Copied() && !r.limits.TwoAtOnce && c.mayRepeat() && took > s.fair { // a copy would have been cut
+			x.fate = NoAnswer
+		}
 		b := r.book(s.build)
 		b.samples = keep(b.samples, x, 1500) // a trial's worth, or some ten seconds of a busy router's sends
 	}
@@ -727,15 +729,15 @@
 	{paused, lasting, level},    // it is slow without copies too
 	{watched, swelling, proven}, // with copies it was slow twice, and without them quick
 	{watched, lasting, level},
+	{proven, lasting, level},
 }
 
 // shared reads the table and weighs it; a category that waits alone is another trouble, so all must be slow.
 func (r *Router) shared(before *book) float64 {
-	const high, low = 0.4, 0.25 // log of half slower than before the trial; of little more than then
-	const rest = 15 * Second    // by then what waits at hosts has gone and the desk has counted it
-	const few = 60              // sends, as these scatter
-	const small = 0.15          // of the sends: what gets less can't slow a fleet so
-	const proof = 400           // odds: enough among the other tests that find nothing
+	const high, low = 0.4, 0.25  // log of half slower than before the trial; of little more than then
+	const rest = 15 * Second     // by then what waits at hosts has gone and the desk has counted it
+	const few, small = 60, 0.15  // sends, as these scatter; of the sends: what gets less can't slow a fleet so
+	const proof, alone = 400, 30 // odds: enough among the other tests that find nothing, and with another's only
 	slow, n := r.slowest(before, r.now-rest/6)
 	switch {
 	case n < few:
@@ -747,8 +749,8 @@
 	if r.now-r.surged > rest {
 		r.surge(lasting)
 	}
-	if r.swell == proven {
-		return proof
+	if r.swell == proven { // own sends alone swell by a trouble of the fleet as well
+		return map[bool]float64{true: proof, false: alone}[r.byDesk()]
 	}
 	return 1
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -334,6 +334,45 @@
 	require.Len(t, f.r.book(2).samples, copies)
 }
 
+func TestOriginalsAreJudgedByTheTimeThatACopyIsGiven(t *testing.T) {
+	f, list := begin(t, func(p *Place) { p.Limits.TwoAtOnce = false })
+	f.r.Listed(f.now, append(list, f.host(10, 2), f.host(11, 2), f.host(12, 2)), true)
+	f.quote.Promised = Second / 7 // too short for a send to be cut and another made in time
+	f.serve(120, f.quote, fine)
+	f.r.Told(f.now, News{Build: 2, Stage: 1, Cap: 1})
+	f.votes = nil
+	n := map[int]int{}
+	for range 800 { // one send in 22 takes long, at either build
+		t := f.take(f.quote)
+		f.pass(Second / 20)
+		for i := 0; i < len(t.Sends); i++ {
+			s := t.Sends[i]
+			took := Time(Second / 20)
+			if n[s.build]++; n[s.build]%22 == 0 {
+				took = Second * 8 / 10
+			}
+			if took > f.within[s] {
+				f.end(s, NoAnswer, f.within[s])
+			} else {
+				f.end(s, Finished, took)
+			}
+		}
+	}
+	require.Greater(t, f.toBuild(2), 10)
+	require.NotContains(t, f.votes, Back)
+}
+
+func TestASwellSeenByOwnSendsAloneConvictsNoBuildAndEnds(t *testing.T) {
+	f, _ := begin(t, nil)
+	f.trial(1, 0.5)
+	f.r.swell, f.r.surged = proven, f.now
+	w, doubts := f.r.weight()
+	require.Contains(t, doubts, 30.0)
+	require.Less(t, w, 8.0)
+	f.pass(16 * Second)
+	require.Equal(t, level, f.r.swell)
+}
+
 func TestSendsCutShortCountInTheBudgetOfFurtherOnes(t *testing.T) {
 	f, _ := begin(t, func(p *Place) { p.Limits.TwoAtOnce = false })
 	f.serve(120, f.quote, fine)
--- a/logic/types.go
+++ b/logic/types.go
@@ -137,6 +137,7 @@
 	at    Time
 	build int
 	up    Time
+	fair  Time // what a lone copy would be given
 	held  float64
 	role  role
 	began bool
