--- a/logic/logic.go
+++ b/logic/logic.go
@@ -737,7 +737,7 @@
 	const high, low = 0.4, 0.25  // log of half slower than before the trial; of little more than then
 	const rest = 15 * Second     // by then what waits at hosts has gone and the desk has counted it
 	const few, small = 60, 0.15  // sends, as these scatter; of the sends: what gets less can't slow a fleet so
-	const proof, alone = 400, 30 // odds: enough among the other tests that find nothing, and with another's only
+	const proof, alone = 400, 20 // odds: enough among the other tests that find nothing, and with another's only
 	slow, n := r.slowest(before, r.now-rest/6)
 	switch {
 	case n < few:
