--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,16 +127,17 @@
 func (p *Post) charter(pairs terms.Pairs) *charter.Charter {
 	const (
 		head, body = 16 << 10, 64 << 10
+		answer     = 1 << 20         // answers of over 64 KiB were seen: 8 in 100 on one day
 		fixed      = 28              // descriptors: the poller, standard streams, listener, two lists, two feeds, votes
 		edge       = 2 * time.Second // of the time that a host keeps an idle link: it may close it a little early
 		drain      = 3 * time.Second // the longest patience, where it is longer
 	)
 	span := func(path string) time.Duration { return time.Duration(pairs.Int(path)) * time.Microsecond }
 	room := p.Limits.Sockets - fixed
-	c := &charter.Charter{Name: p.Name, Listen: p.Listen, Drain: drain, Held: p.Limits.MemoryMB << 20 / 8, Place: p.terms.Place}
+	c := &charter.Charter{Name: p.Name, Listen: p.Listen, Drain: drain, Held: p.Limits.MemoryMB << 20 / 6, Place: p.terms.Place}
 	c.Reach = back.Reach{Connect: max(span("Permissions.ConnectTimeoutUs"), 50*time.Millisecond),
 		Idle:  max(span("Permissions.ConnIdleUs")-edge, span("Permissions.ConnIdleUs")/2, time.Second),
-		Links: room, All: room * 9 / 20, Bounds: http1.Bounds{Head: head, Body: body, Framed: true}, Signs: p.signs()}
+		Links: room, All: room * 9 / 20, Bounds: http1.Bounds{Head: head, Body: answer, Framed: true}, Signs: p.signs()}
 	c.Welcome = front.Welcome{Name: p.Name, Slow: 2 * time.Second, Idle: 2100 * time.Millisecond, First: 2300 * time.Millisecond,
 		Spare: 2 * time.Second, Links: room - c.Reach.All, AtOnce: 1, Bounds: http1.Bounds{Head: head, Body: body},
 		Wording: wording}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,7 +18,11 @@
 )
 
 func TestATaskPassesOnUnchangedAndItsAnswerComesBack(t *testing.T) {
-	m := newMachine(t, "a", right)
+	m := newMachine(t, "a", func(c net.Conn, r *http.Request, b []byte) bool {
+		n, _ := strconv.Atoi(r.Header.Get("Work-Hint"))
+		say(c, 200, "for "+r.Header.Get("Request-Id")+strings.Repeat("x", n))
+		return true
+	})
 	r := start(t, m)
 	for len(m.seen) > 0 {
 		<-m.seen
@@ -32,6 +37,9 @@
 	require.Equal(t, id, q.Header.Get("Request-Id"))
 	require.Regexp(t, `^[1-9][0-9]{0,2}$`, q.Header.Get("Request-Timeout-Ms"))
 	require.Equal(t, "service", q.Host)
+	got, id = r.ask("GET", "quote", "Work-Hint: 300000")
+	require.Equal(t, 200, got.status)
+	require.Equal(t, "for "+id+strings.Repeat("x", 300000), got.body, "an answer may be larger than any request")
 	c := r.client()
 	_, _ = io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
 	require.Equal(t, 200, c.read().status)
