Name and addresses left out of the configuration come from EDGE_*; an answer cut at each byte

Need: the issue names EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY, and only the file was read. Where it leaves one out the environment has it now. A test cuts a host's answer to a binding task at each of its 42 bytes: always an honest failure, never a second send.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,8 +56,8 @@
 	terms   terms.Terms
 }
 
-// Read reads the file that EDGE_CONFIG names; what EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY tell must agree with it
-// where they are set. An error names the file and what is wrong in it.
+// Read reads the file that EDGE_CONFIG names; what it leaves out of name, listen and discovery is taken from EDGE_NAME,
+// EDGE_LISTEN and EDGE_DISCOVERY. An error names the file and what is wrong in it.
 func Read(file string) (*Post, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -79,6 +79,11 @@
 		}
 		return nil, err
 	}
+	for name, at := range map[string]*string{"EDGE_NAME": &p.Name, "EDGE_LISTEN": &p.Listen, "EDGE_DISCOVERY": &p.Discovery} {
+		if *at == "" {
+			*at = os.Getenv(name)
+		}
+	}
 	if p.Name == "" {
 		return nil, errors.New("name is missing")
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -245,6 +245,44 @@
 	require.Empty(t, odd)
 }
 
+func TestAnAnswerCutAtAnyByteIsAnHonestFailure(t *testing.T) {
+	var mu sync.Mutex
+	at, sends := 0, 0
+	serve := func(c net.Conn, q *http.Request, b []byte) bool {
+		if q.Method == "GET" {
+			return right(c, q, b)
+		}
+		text := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+		mu.Lock()
+		defer mu.Unlock()
+		sends++
+		_, _ = io.WriteString(c, text[:min(at, len(text))])
+		return at >= len(text)
+	}
+	r := start(t, newMachine(t, "a", serve))
+	for at < 42 {
+		got, _ := r.ask("POST", "pay", "")
+		require.Equal(t, 502, got.status, "cut at byte %d", at)
+		mu.Lock()
+		at++
+		require.Equal(t, at, sends, "a binding task that may have run is not sent again")
+		mu.Unlock()
+	}
+	got, _ := r.ask("POST", "pay", "")
+	require.Equal(t, 200, got.status)
+	require.Equal(t, "body", got.body)
+}
+
+func TestWhatTheFileLeavesOutIsTakenFromTheEnvironment(t *testing.T) {
+	t.Setenv("EDGE_NAME", "n7")
+	t.Setenv("EDGE_LISTEN", "127.0.0.1:9001")
+	b := brief("127.0.0.1:1", "127.0.0.1:2")
+	delete(b, "name")
+	p := post(t, b)
+	require.Equal(t, "n7", p.Charter.Name)
+	require.Equal(t, "127.0.0.1:0", p.Charter.Listen, "the file goes first")
+}
+
 func TestATurnBackNamesATimeToComeBack(t *testing.T) {
 	m := newMachine(t, "a", func(c net.Conn, r *http.Request, b []byte) bool {
 		if r.Method == "POST" {
