One cast of votes for both desks; a stop that nothing called, a default set twice and a test's twin go

Read once more: desk and platform wrapped a vote in the same lines (desk.Hear.Cast serves both now); sock.Dial returned a stop that back kept and never called; the default signs were chosen in the pool and in the instance (Reach.How); a category's false was set to false; two tests of the node had the same waiting host. Behaviour as before, no assertion changed; tests of node, platform, discovery, sock and instance pass.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -43,6 +43,14 @@
 	Signs   *Signs        // how hosts are spoken to; nil for this project's own way
 }
 
+// How is how hosts are spoken to.
+func (r Reach) How() *Signs {
+	if r.Signs == nil {
+		return Own
+	}
+	return r.Signs
+}
+
 // Signs are what differs by protocol in how hosts are spoken to and what their answers mean.
 type Signs struct {
 	Within, Unit, Send, Router, Category string // fields of a send, and the unit of Within; empty for none
@@ -121,9 +129,7 @@
 
 // NewPool keeps connections on an engine; answers hold bytes of the budget.
 func NewPool(l *loop.Loop, e *sock.Engine, reach Reach, budget *http1.Budget) *Pool {
-	if reach.Signs == nil {
-		reach.Signs = Own
-	}
+	reach.Signs = reach.How()
 	p := &Pool{loop: l, engine: e, reach: reach, budget: budget, hosts: map[uint32]*host{}}
 	p.sweepLater()
 	return p
@@ -250,7 +256,7 @@
 	s.link = l
 	h.links++
 	p.links++
-	l.stop = p.engine.Dial(h.address, p.reach.Connect, l, func(c *sock.Conn, err error) {
+	p.engine.Dial(h.address, p.reach.Connect, l, func(c *sock.Conn, err error) {
 		p.loop.Post(func() { l.opened(c, err) })
 	})
 }
@@ -326,7 +332,6 @@
 	host    *host
 	address string
 	conn    *sock.Conn
-	stop    func() // gives its making up
 	send    *Send
 	free    logic.Time // since when it has been idle
 	gone    bool
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -214,17 +214,23 @@
 	}()
 }
 
-// Vote casts a vote in the background and calls done once with what became of it.
-func (l *Link) Vote(build, stage int, voice logic.Voice, done func(logic.News)) {
+// Cast casts a vote in the background by whatever protocol and calls done once with what became of it; what went wrong
+// is told beside.
+func (h Hear) Cast(build int, vote func() (logic.News, error), done func(logic.News)) {
 	go func() {
-		n, err := l.vote(build, stage, voice)
+		n, err := vote()
 		if err != nil {
-			l.hear.Trouble(fmt.Errorf("a vote on build %d: %w", build, err))
+			h.Trouble(fmt.Errorf("a vote on build %d: %w", build, err))
 		}
 		done(n)
 	}()
 }
 
+// Vote casts a vote in the background and calls done once with what became of it.
+func (l *Link) Vote(build, stage int, voice logic.Voice, done func(logic.News)) {
+	l.hear.Cast(build, func() (logic.News, error) { return l.vote(build, stage, voice) }, done)
+}
+
 func (l *Link) vote(build, stage int, voice logic.Voice) (logic.News, error) {
 	moot := func(a logic.Answer, err error) (logic.News, error) {
 		return logic.News{Build: build, Stage: stage, Answer: a}, err
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -139,10 +139,7 @@
 func StartBy(links Links, c *charter.Charter, log *slog.Logger, bend Bend) (_ *Instance, err error) {
 	i := &Instance{charter: c, log: log.With("router", c.Name), loop: loop.New(), bend: bend, tasks: map[string]*held{},
 		hosts: map[uint32]register.Host{}, became: map[int]map[string]int{}, budget: http1.NewBudget(int64(c.Held)), keep: make(chan []register.Host, 1),
-		kept: make(chan struct{}), signs: c.Reach.Signs}
-	if i.signs == nil {
-		i.signs = back.Own
-	}
+		kept: make(chan struct{}), signs: c.Reach.How()}
 	var opened []func() // what is closed again, the last first, where a later part can't be opened
 	defer func() {
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,7 @@
 		k := front.Kind{Name: x.Name, Patience: loop.Span(span(fmt.Sprintf("Categories.%d.DeadlineUs", i))), Method: "POST"}
 		switch x.Repeat {
 		case logic.Retriable:
-			k.Method, k.Bare = "GET", false
+			k.Method = "GET"
 		case logic.Fingerprinted:
 			k.Marked = true
 		case logic.Binding:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -106,12 +106,7 @@
 
 func TestTheIdOfAnOpenTaskIsTurnedDownAndTheTaskGoesOn(t *testing.T) {
 	goOn := make(chan bool)
-	m := newMachine(t, "a", func(c net.Conn, r *http.Request, b []byte) bool {
-		if r.Method == "POST" {
-			<-goOn
-		}
-		return right(c, r, b)
-	})
+	m := newMachine(t, "a", waiting(goOn))
 	r := start(t, m)
 	c, d := r.client(), r.client()
 	text, id := request("POST", "pay")
@@ -336,12 +331,7 @@
 
 func TestAPlannedEndServesWhatStillComesAndAnswersAllItHolds(t *testing.T) {
 	goOn := make(chan bool)
-	m := newMachine(t, "a", func(c net.Conn, r *http.Request, b []byte) bool {
-		if r.Method == "POST" {
-			<-goOn
-		}
-		return right(c, r, b)
-	})
+	m := newMachine(t, "a", waiting(goOn))
 	r := start(t, m)
 	held, kept := r.client(), r.client()
 	text, _ := request("POST", "order", "Idempotency-Key: k")
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -135,6 +135,16 @@
 	return true
 }
 
+// waiting answers what is posted only once it is told to go on.
+func waiting(goOn chan bool) func(net.Conn, *http.Request, []byte) bool {
+	return func(c net.Conn, r *http.Request, b []byte) bool {
+		if r.Method == "POST" {
+			<-goOn
+		}
+		return right(c, r, b)
+	}
+}
+
 // brief is a configuration for a router with these services.
 func brief(list, desk string) map[string]any {
 	kind := func(name, repeat string, deadline int) map[string]any {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -144,13 +144,7 @@
 
 // Vote casts a vote in the background and calls done once with what became of it.
 func (l *Link) Vote(build, stage int, voice logic.Voice, done func(logic.News)) {
-	go func() {
-		n, err := l.vote(build, stage, voice)
-		if err != nil {
-			l.hear.Trouble(fmt.Errorf("a vote on build %d: %w", build, err))
-		}
-		done(n)
-	}()
+	l.hear.Cast(build, func() (logic.News, error) { return l.vote(build, stage, voice) }, done)
 }
 
 func (l *Link) vote(build, stage int, voice logic.Voice) (logic.News, error) {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -7,7 +7,6 @@
 package sock
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -276,13 +275,9 @@
 }
 
 // Dial connects in the background and calls done with the connection, whose session is s, or with what went wrong.
-// What it returns gives the attempt up.
-func (e *Engine) Dial(address string, within time.Duration, s Session, done func(*Conn, error)) (stop func()) {
-	ctx, stop := context.WithTimeout(context.Background(), within)
+func (e *Engine) Dial(address string, within time.Duration, s Session, done func(*Conn, error)) {
 	go func() {
-		defer stop()
-		var d net.Dialer
-		conn, err := d.DialContext(ctx, "tcp", address)
+		conn, err := net.DialTimeout("tcp", address, within)
 		if err != nil {
 			done(nil, err)
 			return
@@ -293,7 +288,6 @@
 		}
 		done(c, err)
 	}()
-	return stop
 }
 
 // Deaf closes the listeners; connections go on.
