A closing never crosses a request that was taken; the last answers are read before the end

Now sock.Conn.CloseIdle holds the reader off while it looks: bytes unread, read and not handed on, begun or owed keep a connection open. The last answer ends the sending half only, and Drain waits until clients have closed or one second has passed. What comes after SIGTERM has no more patience than the process has.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -95,7 +95,8 @@
 	ids      map[string]*slot // open requests by their names
 	open     int              // slots without an answer
 	closing  bool
-	bowing   bool // each answer ends its connection
+	bowing   bool       // each answer ends its connection
+	until    logic.Time // by which all is answered then; 0 for no bound
 }
 
 type path struct {
@@ -127,21 +128,39 @@
 	return d
 }
 
-// Close ends idle connections and turns back what comes on others; Open tells when all is answered.
+// Close ends idle connections and turns back what still comes on others; Drained tells when that is over.
 func (d *Door) Close() {
+	d.Bow(d.until)
 	d.closing = true
+	d.shed()
+}
+
+// shed ends the connections on which nothing is under way.
+func (d *Door) shed() {
+	for g := range d.guests {
+		if g.leaving == 0 {
+			g.leaveIdle()
+		}
+	}
+}
+
+// Drained tells whether all that had come was answered and read: its clients have closed, or were given the time to.
+func (d *Door) Drained() bool {
+	d.shed()
+	return len(d.guests) == 0
+}
+
+// Bow goes on as before, but each answer ends its connection, so that clients move elsewhere. Requests that come from
+// now on are answered before until, as the process ends then; 0 for no such bound.
+func (d *Door) Bow(until logic.Time) {
+	d.bowing, d.until = true, until
 	for g := range d.guests {
 		if n := len(g.slots); n > 0 {
 			g.slots[n-1].closes = true
-		} else {
-			g.conn.Close()
 		}
 	}
 }
 
-// Bow goes on as before, but each answer ends its connection, so that clients move elsewhere.
-func (d *Door) Bow() { d.bowing = true }
-
 // Open is how many requests wait for their answer.
 func (d *Door) Open() int { return d.open }
 
@@ -157,7 +176,8 @@
 	g.came = d.loop.Now()
 	g.heard.Store(int64(g.came))
 	d.loop.Post(func() {
-		if d.closing || len(d.guests) >= d.welcome.Links && !d.room() {
+		if len(d.guests) >= d.welcome.Links && !d.room() {
+			g.gone = true // what it has asked already is not worked on, as no answer can reach it
 			c.Close()
 			return
 		}
@@ -184,8 +204,8 @@
 			out = g
 		}
 	}
-	if out == nil || out.leaving == 0 && !out.conn.Quiet() {
-		return false
+	if out == nil || out.leaving == 0 {
+		return out != nil && out.leaveIdle()
 	}
 	out.leave()
 	return true
@@ -193,30 +213,37 @@
 
 // sweepLater closes connections that are idle, and those that are too slow, some times a second.
 func (d *Door) sweepLater() {
-	const linger = logic.Second // to read the answer that was sent last
 	d.loop.After(logic.Second/5, func() {
-		now, slow, first := d.loop.Now(), loop.Span(d.welcome.Slow), loop.Span(d.welcome.First)
-		for g := range d.guests {
-			heard, begun := logic.Time(g.heard.Load()), logic.Time(g.begun.Load())
-			_, since := g.conn.Pending()
-			late := first > 0 && !g.asked && now-g.came > first
-			switch {
-			case g.leaving != 0 && now-g.leaving > linger || !since.IsZero() && time.Since(since) > d.welcome.Slow:
-				g.leave()
-			case g.leaving != 0:
-			case begun != 0 && (now-begun > slow || late):
-				g.refuse(&http1.Bad{Status: 408, Text: "the request took too long to arrive"})
-			case begun == 0 && len(g.slots) == 0 && (now-heard > loop.Span(d.welcome.Idle) || late) && g.conn.Quiet():
-				g.leave()
-			}
-		}
+		d.sweep()
 		d.sweepLater()
 	})
 }
 
+func (d *Door) sweep() {
+	const linger = logic.Second // to read the answer that was sent last
+	now, slow, first := d.loop.Now(), loop.Span(d.welcome.Slow), loop.Span(d.welcome.First)
+	for g := range d.guests {
+		heard, begun := logic.Time(g.heard.Load()), logic.Time(g.begun.Load())
+		_, since := g.conn.Pending()
+		late := first > 0 && !g.asked && now-g.came > first
+		switch {
+		case g.leaving != 0 && now-g.leaving > linger || !since.IsZero() && time.Since(since) > d.welcome.Slow:
+			g.leave()
+		case g.leaving != 0:
+		case begun != 0 && (now-begun > slow || late):
+			g.refuse(&http1.Bad{Status: 408, Text: "the request took too long to arrive"})
+		case begun == 0 && len(g.slots) == 0 && (now-heard > loop.Span(d.welcome.Idle) || late):
+			g.leaveIdle()
+		}
+	}
+}
+
 // called reads what a request says of itself; the task must be answered by patience from begun on.
 func (d *Door) called(g *guest, m *http1.Message, begun logic.Time) {
-	s := &slot{guest: g, closes: m.Closes() || d.closing || d.bowing, headless: m.Method == "HEAD"}
+	if d.bowing && len(g.slots) > 0 { // the newest one's answer ends the connection
+		g.slots[len(g.slots)-1].closes = false
+	}
+	s := &slot{guest: g, closes: m.Closes() || d.bowing, headless: m.Method == "HEAD"}
 	g.slots = append(g.slots, s)
 	g.asked = true
 	d.open++
@@ -301,7 +328,10 @@
 		}
 		c.Hint = span
 	}
-	c.Patience -= d.loop.Now() - begun
+	now := d.loop.Now()
+	if c.Patience -= now - begun; d.until != 0 {
+		c.Patience = min(c.Patience, d.until-now)
+	}
 	if c.Customer == "" {
 		c.Customer, _ = d.networks.Lookup(g.from)
 	}
--- a/internal/front/guest.go
+++ b/internal/front/guest.go
@@ -67,7 +67,12 @@
 		if err != nil {
 			g.deaf = true
 			g.reader.Drop()
-			return append(work, func() { g.refuse(err.(*http1.Bad)) })
+			g.owed.Add(1)
+			return append(work, func() {
+				if g.owed.Add(-1); !g.over() {
+					g.refuse(err.(*http1.Bad))
+				}
+			})
 		}
 		switch event {
 		case http1.More:
@@ -92,7 +97,7 @@
 				g.deaf = true // what follows a last request is not looked at
 			}
 			work = append(work, func() {
-				if g.gone {
+				if g.over() { // no answer can reach the client any more, so that nothing may run for it
 					m.Drop()
 					return
 				}
@@ -144,17 +149,28 @@
 	}
 }
 
+// over tells whether a connection takes no further request: it has ended, or had its last answer.
+func (g *guest) over() bool { return g.gone || g.leaving != 0 }
+
 // leave ends the connection; the place that it had is free at once.
 func (g *guest) leave() {
+	g.gone = true
 	delete(g.door.guests, g)
 	g.conn.Close()
 }
 
+// leaveIdle does so if nothing of a request has come that is not answered, wherever it may be on its way; it tells
+// whether that was so.
+func (g *guest) leaveIdle() bool {
+	idle := g.conn.CloseIdle(func() bool { return g.begun.Load() == 0 && g.owed.Load() == 0 })
+	if idle {
+		g.leave()
+	}
+	return idle
+}
+
 // refuse answers what can't be read, after the answers owed before it, and ends the connection.
 func (g *guest) refuse(wrong *http1.Bad) {
-	if g.gone || g.leaving != 0 {
-		return
-	}
 	g.mu.Lock()
 	g.deaf = true
 	g.reader.Drop()
@@ -228,6 +244,7 @@
 		}
 		if next.closes {
 			g.leaving = g.door.loop.Now() // the client closes; the sweep does if it doesn't
+			g.conn.CloseWrite()
 			for _, rest := range g.slots {
 				rest.abandon()
 			}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -286,18 +286,20 @@
 	return tasks, guests, links, i.budget.Used()
 }
 
-// Bow goes on serving, but each answer ends its connection.
-func (i *Instance) Bow() { i.loop.Do(i.door.Bow) }
+// Bow goes on serving, but each answer ends its connection, and what comes from now on is answered within.
+func (i *Instance) Bow(within time.Duration) {
+	i.loop.Do(func() { i.door.Bow(i.loop.Now() + loop.Span(within)) })
+}
 
-// Drain takes no new tasks, waits for those held to get their answer, at most for within or until cut is closed, and
-// ends. It returns how many were cut off.
+// Drain takes no new tasks, waits until those held have got their answer and their clients have read it, at most for
+// within or until cut is closed, and ends. It returns how many were cut off.
 func (i *Instance) Drain(within time.Duration, cut <-chan struct{}) (left int) {
 	i.engine.Deaf()
 	end := time.After(within)
 	i.loop.Do(i.door.Close)
 	for ended := false; !ended; {
-		ok := i.loop.Do(func() { left = i.door.Open() })
-		if !ok || left == 0 {
+		drained := false
+		if ok := i.loop.Do(func() { left, drained = i.door.Open(), i.door.Drained() }); !ok || drained {
 			break
 		}
 		select {
@@ -308,9 +310,6 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
-	if left == 0 {
-		time.Sleep(20 * time.Millisecond) // the last answers are with the kernel; let clients close first
-	}
 	c := i.Counts()
 	i.Kill()
 	i.log.Info("ended", "cut off", left, "taken", c.Taken, "finished", c.Finished, "turned back", c.TurnedBack,
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -79,6 +79,13 @@
 	l.mu.Unlock()
 }
 
+// Waiting is how many pieces of work stand in line, beside the one that runs.
+func (l *Loop) Waiting() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.line)
+}
+
 // Do runs work in the loop and waits for it; it reports false if the loop is closed. It must not be called from
 // work.
 func (l *Loop) Do(work func()) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -228,9 +228,14 @@
 // ends its connection; then it closes and waits for what it holds. It returns how many tasks were cut off.
 func (n *Node) Retire(cut <-chan struct{}) int {
 	const still, early = 750 * time.Millisecond, 200 * time.Millisecond // what arrives in the first 0.7 s is served
-	n.instance.Bow()
-	time.Sleep(still)
-	return n.instance.Drain(n.post.Charter.Drain-early, cut)
+	const read = 100 * time.Millisecond                                 // for the last answers to be read
+	within := n.post.Charter.Drain - early
+	n.instance.Bow(still + within - read)
+	select {
+	case <-time.After(still):
+	case <-cut:
+	}
+	return n.instance.Drain(within, cut)
 }
 
 // Kill ends the router at once.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -340,7 +340,7 @@
 	ended := make(chan int)
 	n := r.node
 	r.node = nil
-	n.instance.Bow()
+	n.instance.Bow(time.Minute)
 	text, _ = request("GET", "quote")
 	_, _ = io.WriteString(kept, text)
 	got := kept.read()
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -36,6 +36,11 @@
 	mu   sync.Mutex
 	rest []byte // what the kernel has not taken yet; whoever carries it on takes it away
 	busy bool   // somebody carries it on
+	last bool   // nothing is written after what waits
+
+	reads   sync.Mutex // held around each read from the kernel, never around anything that waits
+	handing bool       // bytes were read that the session has not heard whole yet
+	deaf    bool       // nothing more is read
 }
 
 // Write hands a head and a body to the kernel, or keeps them until it takes them. When it fails, none tells whether
@@ -47,7 +52,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.shut.Load() {
+	if c.shut.Load() || c.last {
 		return true, net.ErrClosed
 	}
 	none = true
@@ -103,7 +108,9 @@
 		c.mu.Lock()
 		part := c.rest
 		if c.rest = nil; len(part) == 0 {
-			c.busy = false
+			if c.busy = false; c.last {
+				c.endSending()
+			}
 			c.mu.Unlock()
 			return
 		}
@@ -136,6 +143,34 @@
 	return bytes, since
 }
 
+// CloseWrite ends the sending half once what was written has gone; nothing can be written after it. The peer can go on
+// sending, so that its bytes don't make the kernel reset the connection and throw away an answer that is still unread.
+func (c *Conn) CloseWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last = true; !c.busy {
+		c.endSending()
+	}
+}
+
+func (c *Conn) endSending() {
+	_ = c.raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+}
+
+// CloseIdle closes the connection if nothing is under way on it, and tells whether it did. Bytes that have arrived but
+// are not read yet, bytes that were read but are not handed on yet, and whatever idle knows of keep it open: so a close
+// never crosses a request that this side has taken. idle must not wait for the session.
+func (c *Conn) CloseIdle(idle func() bool) bool {
+	c.reads.Lock()
+	c.deaf = c.deaf || !c.handing && idle() && c.Quiet()
+	closes := c.deaf
+	c.reads.Unlock()
+	if closes { // not under the lock: closing waits for the reader, which may wait for the lock
+		c.Close()
+	}
+	return closes
+}
+
 // Close closes the connection; its session's Closed follows. The peer is told before it returns: by itself closing
 // waits for the reader to let go of the descriptor, and what is written elsewhere meanwhile would come first.
 func (c *Conn) Close() {
@@ -171,15 +206,25 @@
 			if buffer == nil {
 				buffer = buffers.Get().(*[16 << 10]byte)
 			}
+			c.reads.Lock()
+			defer c.reads.Unlock()
+			if c.deaf {
+				n, err = 0, net.ErrClosed
+				return true
+			}
 			if n, err = syscall.Read(int(fd), buffer[:]); err == syscall.EAGAIN || err == syscall.EINTR {
 				buffers.Put(buffer)
 				buffer = nil
 				return false
 			}
+			c.handing = n > 0
 			return true
 		})
 		if wrong == nil && err == nil && n > 0 {
 			c.session.Data(buffer[:n])
+			c.reads.Lock()
+			c.handing = false
+			c.reads.Unlock()
 		}
 		if buffer != nil {
 			buffers.Put(buffer)
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -111,3 +111,58 @@
 		<-second.closed
 	}
 }
+
+// slow is a session that holds what it is told until it may go on.
+type slow struct {
+	*ear
+	in, goOn chan bool
+}
+
+func (s slow) Data(b []byte) { s.in <- true; <-s.goOn; s.ear.Data(b) }
+
+func TestAConnectionWhoseSessionHasNotHeardAllIsNotIdle(t *testing.T) {
+	e, conns := Start(), make(chan *Conn, 1)
+	s := slow{newEar(), make(chan bool), make(chan bool)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e.Accept(l, func(c *Conn) Session { conns <- c; return s })
+	t.Cleanup(e.Stop)
+	far, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = far.Close() })
+	c, yes := <-conns, func() bool { return true }
+	_, _ = far.Write([]byte("1"))
+	<-s.in // read, and not heard
+	require.False(t, c.CloseIdle(yes))
+	_, _ = far.Write([]byte("2")) // and arrived, but not read
+	require.False(t, c.CloseIdle(yes))
+	s.goOn <- true
+	<-s.in
+	require.False(t, c.CloseIdle(yes))
+	s.goOn <- true
+	require.Equal(t, "1", string(<-s.data))
+	require.Equal(t, "2", string(<-s.data))
+	require.False(t, c.CloseIdle(func() bool { return false }), "its session knows of something")
+	require.Eventually(t, func() bool { return c.CloseIdle(yes) }, 10*time.Second, time.Millisecond)
+	require.Error(t, <-s.closed)
+	_, _ = far.Write([]byte("3"))
+	require.Empty(t, s.data, "nothing is read after it")
+}
+
+// An answer that its reader has not read is not thrown away because the reader sent something more.
+func TestWhatWasWrittenLastIsReadThoughThePeerGoesOnSending(t *testing.T) {
+	_, s, c, far := pair(t)
+	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<20)
+	_, err := c.Write(body, nil)
+	require.NoError(t, err)
+	c.CloseWrite()
+	none, err := c.Write([]byte("x"), nil)
+	require.True(t, none && err != nil, "nothing goes after it")
+	_, _ = far.Write([]byte("more"))
+	require.Equal(t, "more", string(<-s.data))
+	got, err := io.ReadAll(far)
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(body, got))
+	_ = far.Close()
+	require.ErrorIs(t, <-s.closed, io.EOF)
+}
