When all places are taken a newcomer that asks goes before idle connections

A probe of what held the 302 places at each refusal: 55 that had said nothing for under 0.2 s, 0 to 6 with an open request, and about 245 that had asked once within the last 2 s and stayed, which room() spared for 2 s (front.go, node.go). Ruled out: half requests (0 or 1) and those waiting to be closed (0). Now anyone silent for 0.2 s may go, the longest first; a close that crosses a request can't happen (CloseIdle).

--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -67,6 +67,7 @@
 		d.lines <- "\n"
 		time.Sleep(200 * time.Millisecond) // the discovery's own pace
 	}
+	require.Empty(t, h.failed)
 	require.ErrorContains(t, <-h.failed, "silent")
 	require.Greater(t, time.Since(began), 2*time.Second)
 }
--- a/internal/front/door_test.go
+++ b/internal/front/door_test.go
@@ -173,3 +173,24 @@
 	v.ask()
 	require.LessOrEqual(t, (<-h.taken).Patience, logic.Second)
 }
+
+// Those that asked once and stay leave their places to newcomers, long before they would be closed as idle.
+func TestAnIdleConnectionMakesRoomForANewcomerThatAsks(t *testing.T) {
+	h := newHouse(t, func(w *Welcome) { w.Links, w.Spare = 2, time.Nanosecond })
+	first, second := h.visit(), h.visit()
+	for _, v := range []visitor{first, second} {
+		v.ask()
+		h.scrap(<-h.taken)
+		require.Equal(t, 502, v.status())
+	}
+	second.ask() // has an open request, and stays
+	open := <-h.taken
+	third := h.visit()
+	third.ask()
+	h.scrap(<-h.taken)
+	require.Equal(t, 502, third.status())
+	_, err := first.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	h.scrap(open)
+	require.Equal(t, 502, second.status())
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -192,12 +192,11 @@
 	if d.welcome.Spare <= 0 {
 		return false
 	}
-	const said = logic.Second / 5 // whoever connects to ask has asked by then
 	now, spare := d.loop.Now(), loop.Span(d.welcome.Spare)
 	var out *guest
 	for g := range d.guests {
 		heard := logic.Time(g.heard.Load())
-		if g.leaving == 0 && (len(g.slots) > 0 || g.begun.Load() != 0 || now-heard < said || g.asked && now-heard < spare) {
+		if g.leaving == 0 && (len(g.slots) > 0 || g.begun.Load() != 0 || now-heard < spare) {
 			continue
 		}
 		if out == nil || out.asked && !g.asked || out.asked == g.asked && heard < logic.Time(out.heard.Load()) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,6 +136,10 @@
 		fixed      = 28              // descriptors: the poller, standard streams, listener, two lists, two feeds, votes
 		edge       = 2 * time.Second // of the time that a host keeps an idle link: it may close it a little early
 		drain      = 3 * time.Second // the longest patience, where it is longer
+
+		// When all places are taken, whoever has said nothing for so long goes: who connects to ask has asked by then,
+		// and a client whose idle connection ends opens another, while a newcomer turned away is a request refused.
+		spare = 200 * time.Millisecond
 	)
 	span := func(path string) time.Duration { return time.Duration(pairs.Int(path)) * time.Microsecond }
 	room := p.Limits.Sockets - fixed
@@ -144,7 +148,7 @@
 		Idle:  max(span("Permissions.ConnIdleUs")-edge, span("Permissions.ConnIdleUs")/2, time.Second),
 		Links: room, All: room * 9 / 20, Bounds: http1.Bounds{Head: head, Body: answer, Framed: true}, Signs: p.signs()}
 	c.Welcome = front.Welcome{Name: p.Name, Slow: 2 * time.Second, Idle: 2100 * time.Millisecond, First: 2300 * time.Millisecond,
-		Spare: 2 * time.Second, Links: room - c.Reach.All, AtOnce: 1, Bounds: http1.Bounds{Head: head, Body: body},
+		Spare: spare, Links: room - c.Reach.All, AtOnce: 1, Bounds: http1.Bounds{Head: head, Body: body},
 		Wording: wording}
 	for i, x := range c.Place.Categories {
 		k := front.Kind{Name: x.Name, Patience: loop.Span(span(fmt.Sprintf("Categories.%d.DeadlineUs", i))), Method: "POST"}
