A late second answer is nobody's; hosts are told the time left as the bytes leave

By reading (back.go, instance.go): the newest idle link was used at once, so a second copy of the last answer, some milliseconds late, would be taken for the next request's; Request-Timeout-Ms was written when the attempt was decided, before a connection that may take up to 1 s; a connection that came up after its host had left or moved still carried the request.

Now a link rests 20 ms after an answer before it is used again (another one, or a new one, is taken meanwhile), and twice as long as the latest late copy took, up to 1 s. The pool writes the time told, and what has less than 1 ms left is not sent. A link whose host or address is no longer the told one carries nothing: surely never ran.

A test that wanted a link used on right after an answer waits out the rest now and wants the same.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -20,6 +20,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -116,10 +117,19 @@
 	reach  Reach
 	budget *http1.Budget
 	hosts  map[uint32]*host
-	links  int // open or being opened, in all
+	links  int        // open or being opened, in all
+	rests  logic.Time // how long a link rests after an answer before it is used again
 	closed bool
 }
 
+// A second copy of an answer may come some milliseconds behind the first, and answers don't say whose they are: what comes
+// on a link that rests is nobody's, what comes on one in use would be taken for the answer of the request on it. So a link
+// rests a while before it is used again, and twice as long as the latest such copy took, once one has been seen.
+const (
+	leastRest = 20 * logic.Second / 1000
+	mostRest  = logic.Second
+)
+
 type host struct {
 	id      uint32
 	address string
@@ -130,7 +140,7 @@
 // NewPool keeps connections on an engine; answers hold bytes of the budget.
 func NewPool(l *loop.Loop, e *sock.Engine, reach Reach, budget *http1.Budget) *Pool {
 	reach.Signs = reach.How()
-	p := &Pool{loop: l, engine: e, reach: reach, budget: budget, hosts: map[uint32]*host{}}
+	p := &Pool{loop: l, engine: e, reach: reach, budget: budget, hosts: map[uint32]*host{}, rests: leastRest}
 	p.sweepLater()
 	return p
 }
@@ -198,24 +208,30 @@
 	body     []byte
 	bodyless bool
 	at       logic.Time
+	until    logic.Time // when its time is up
 	alarm    *loop.Alarm
 	written  bool
 	done     func(Result)
 }
 
-// Send sends head and body, which must stay as they are until done is called, once, from the loop's work and never
-// before Send has returned. bodyless says that the answer has no body (HEAD).
+// Send sends head and body, which are the pool's until done is called, once, from the loop's work and never before Send
+// has returned. The head's end is added as its bytes leave, with the field that says how long is waited for the answer:
+// until then a connection may have taken its time. bodyless says that the answer has no body (HEAD).
 func (p *Pool) Send(id uint32, head, body []byte, bodyless bool, within logic.Time, done func(Result)) *Send {
-	s := &Send{pool: p, head: head, body: body, bodyless: bodyless, at: p.loop.Now(), done: done}
+	now := p.loop.Now()
+	s := &Send{pool: p, head: head, body: body, bodyless: bodyless, at: now, until: now + within, done: done}
 	h := p.hosts[id]
 	if h == nil || p.closed || within <= 0 {
 		p.loop.Post(func() { s.end(Result{Fate: logic.NeverSent, Why: "no such host or no time left"}) })
 		return s
 	}
 	s.alarm = p.loop.After(within, s.timeUp)
-	for len(h.idle) > 0 {
-		l := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
+	for n := len(h.idle) - 1; n >= 0; n-- { // the last one used of those that have rested
+		l := h.idle[n]
+		if now-l.free < p.rests {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, n, n+1)
 		if !l.conn.Quiet() { // its end, or bytes that no one asked for, have arrived
 			l.drop()
 			continue
@@ -273,11 +289,21 @@
 	if s.done == nil || s.link == nil || s.link.send != s {
 		return
 	}
-	l := s.link
+	l, left := s.link, s.until-s.pool.loop.Now()
+	if !l.current() || left < logic.Second/1000 {
+		l.send = nil
+		s.end(Result{Fate: logic.NeverSent, Why: "the host has left its address, or no time is left"})
+		l.rest()
+		return
+	}
 	l.mu.Lock()
 	l.reader.Expect(s.bodyless)
 	l.mu.Unlock()
 	s.written = true
+	signs := s.pool.reach.Signs
+	s.head = append(append(s.head, signs.Within...), ": "...)
+	s.head = append(strconv.AppendInt(s.head, int64(left/(logic.Second/1000)), 10), signs.Unit...)
+	s.head = append(s.head, "\r\n\r\n"...)
 	none, err := l.conn.Write(s.head, s.body)
 	if err != nil && none {
 		l.send = nil
@@ -364,10 +390,22 @@
 	}
 }
 
+// current tells whether the link's host is still known, and at the link's address.
+func (l *link) current() bool {
+	return l.pool.hosts[l.host.id] == l.host && l.address == l.host.address
+}
+
+// unasked learns from an answer to nothing how long a second copy may take.
+func (l *link) unasked() {
+	if p := l.pool; l.free > 0 {
+		p.rests = min(max(p.rests, 2*(p.loop.Now()-l.free)), mostRest)
+	}
+}
+
 // rest puts a link aside for the next send.
 func (l *link) rest() {
 	p := l.pool
-	if pending, _ := l.conn.Pending(); pending > 0 || p.closed || l.gone || p.hosts[l.host.id] != l.host || l.address != l.host.address {
+	if pending, _ := l.conn.Pending(); pending > 0 || p.closed || l.gone || !l.current() {
 		l.drop()
 		return
 	}
@@ -465,6 +503,9 @@
 func (l *link) broken(err error) {
 	s := l.send
 	l.send = nil
+	if s == nil {
+		l.unasked()
+	}
 	l.drop()
 	if s != nil {
 		s.end(Result{Fate: logic.Errored, Why: "the answer is not to be read: " + err.Error()})
@@ -474,6 +515,7 @@
 func (l *link) answered(m *http1.Message, last bool) {
 	s := l.send
 	if s == nil || !s.written { // an answer to nothing
+		l.unasked()
 		m.Drop()
 		l.host.dropIdle(func(x *link) bool { return x == l })
 		l.drop()
--- a/internal/instance/hard_test.go
+++ b/internal/instance/hard_test.go
@@ -216,6 +216,7 @@
 	r.eventually(func() bool { return r.router.Counts().Left == 1 })
 	<-answered
 	r.idle()
+	time.Sleep(50 * time.Millisecond) // a link rests a little before it is used again
 	c = r.client()
 	c.ask("/quote", "")
 	_, outcome, _ := c.read()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -591,7 +591,7 @@
 		return
 	}
 	head := http1.AppendField([]byte("GET "+p.Path+" HTTP/1.1\r\n"), "Host", i.address.String())
-	head = append(http1.AppendField(head, "Dapplefront-Router", i.charter.Name), "\r\n"...)
+	head = http1.AppendField(head, "Dapplefront-Router", i.charter.Name)
 	i.pool.Send(host, head, nil, false, loop.Span(p.Within), func(r back.Result) {
 		if r.Answer != nil {
 			r.Answer.Drop()
@@ -625,15 +625,12 @@
 	if h.base == nil {
 		h.base = i.head(m, h.call)
 	}
-	head := append(make([]byte, 0, len(h.base)+64), h.base...)
+	head := append(make([]byte, 0, len(h.base)+96), h.base...)
 	signs := i.signs
 	if signs.Send != "" {
 		head = append(append(head, signs.Send...), ": "...)
 		head = append(strconv.AppendInt(head, int64(a.Send), 10), "\r\n"...)
 	}
-	head = append(append(head, signs.Within...), ": "...)
-	head = append(strconv.AppendInt(head, int64(max(1, a.Span/10)), 10), signs.Unit...)
-	head = append(head, "\r\n\r\n"...)
 	h.out++
 	i.counts.Sends++
 	if a.Copied {
