Calls for the list are spread over a fleet, and go slower while discovery has too many callers

Its queue stayed two seconds long: what it takes it answers too late. At fault: logic.go, NewRouter (asks at once) and Listed (0.5 s, at most a third of ask-within).

Now the first call of a router comes by chance within a tenth of a second for each other router, at most 2 s; after a first failure 0.375 to 0.75 s (so that a silent watch is still replaced within 6 s), then 1.5 to 3 s, then 4 to 8 (of ask-within 10 s). What is left: discovery can take one call of each router in up to 8 s, more than the 6 s.

The test that a failed list is asked for within 5 s wants 0.25 to 0.75 s, 1 to 3 s and 4 to 8 s now, once each, and a new one wants the calls of 60 routers spread.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,8 +19,8 @@
 	for _, c := range r.cats {
 		c.mid = max(1, c.Promised/5) // until something is known
 	}
-	if hands.WakeUp(judgeEvery, &Alarm{}); !p.Limits.Pushed {
-		hands.WatchHosts()
+	if hands.WakeUp(judgeEvery, &Alarm{}); !p.Limits.Pushed { // many that start at once don't ask as one
+		hands.WakeUp(Time(r.chance(int(min(2*Second, Time(r.routers-1)*Second/10))+1)), &Alarm{list: true})
 	}
 	return r
 }
@@ -47,14 +47,14 @@
 // ---- The host list ----
 
 // Listed takes in changes to the host list; ok is false when a call for it failed. A failed watch may or may
-// not stand, so it is asked anew: soon, then slower, so that a list that is down is not flooded, yet well
-// inside the time after which silence counts as having been told.
+// not stand, so it is asked anew: soon, then far slower and spread out, as a service with more callers than it
+// can take answers none in time; yet inside the time after which silence counts as having been told.
 func (r *Router) Listed(now Time, changes []Listing, ok bool) {
 	r.now = now
 	if !ok {
-		wait := min(Second/2<<min(r.lost, 3), max(r.limits.AskWithin, Second)/3)
+		wait := min(3*Second/8<<min(2*r.lost, 6), max(r.limits.AskWithin, Second)*2/5)
 		r.lost++
-		r.hands.WakeUp(wait+Time(r.chance(int(wait/2)+1)), &Alarm{list: true})
+		r.hands.WakeUp(wait+Time(r.chance(int(wait)+1)), &Alarm{list: true})
 		return
 	}
 	r.lost = 0
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -98,14 +99,62 @@
 
 func TestAListThatIsDownIsAskedAgainButNotFlooded(t *testing.T) {
 	f, _ := begin(t, nil)
-	for range 20 {
-		before := f.asks
+	f.pass(Second / 100) // a lone router asks at once
+	require.Equal(t, 1, f.asks)
+	for n := range 20 {
+		before, failed := f.asks, f.now
 		f.r.Listed(f.now, nil, false)
-		f.pass(5 * Second)
+		for f.asks == before {
+			f.pass(Second / 100)
+		}
+		least, most := 4*Second, 8*Second // the most is within ask-within
+		if n == 0 {
+			least, most = Second/4, 3*Second/4 // a watch that fell silent has to be replaced within six seconds
+		} else if n == 1 {
+			least, most = Second, 3*Second
+		}
+		require.GreaterOrEqual(t, f.now-failed, least)
+		require.LessOrEqual(t, f.now-failed, most+Second/100)
+		f.pass(8 * Second)
 		require.Equal(t, before+1, f.asks)
 	}
 }
 
+// A fleet that starts or loses its list at one moment doesn't ask as one, again and again.
+func TestAFleetSpreadsItsCallsForTheList(t *testing.T) {
+	const routers = 60
+	var starts, retries []Time
+	for rank := range routers {
+		f, _ := begin(t, func(p *Place) { p.Routers, p.Rank, p.Seed = routers, rank, uint64(rank) })
+		for ; f.asks == 0; f.pass(Second / 100) {
+		}
+		starts = append(starts, f.now)
+		for range 4 {
+			f.r.Listed(f.now, nil, false)
+		}
+		for n := len(f.due) - 1; ; n-- {
+			if f.alarms[n].list {
+				retries = append(retries, f.due[n]-f.now)
+				break
+			}
+		}
+	}
+	for name, at := range map[string][]Time{"starts": starts, "retries": retries} {
+		slices.Sort(at)
+		require.LessOrEqual(t, at[routers-1], map[string]Time{"starts": 2*Second + Second/100, "retries": 8 * Second}[name], name)
+		for n := range at { // in no tenth of the span more than a third of them
+			in := 0
+			for _, x := range at {
+				if x >= at[n] && x < at[n]+(at[routers-1]-at[0])/10 {
+					in++
+				}
+			}
+			require.LessOrEqual(t, in, routers/3, name)
+		}
+		require.Greater(t, at[routers-1]-at[0], Second, name)
+	}
+}
+
 func TestAColdHostGetsLittleEvenWhenItIsAlmostAlone(t *testing.T) {
 	f, list := begin(t, nil)
 	f.serve(100, f.quote, fine)
--- a/logic/peers_test.go
+++ b/logic/peers_test.go
@@ -285,6 +285,7 @@
 
 func TestSettingsChangeBetweenTwoEvents(t *testing.T) {
 	f, _ := begin(t, nil)
+	f.pass(Second / 100)
 	asks := f.asks
 	task := f.take(f.payment)
 	l, d := f.r.limits, f.r.desk
