Ready after the first attempt at list and feed, and no more once the router ends

GET /ready was 200 from listening on (front.called), so clients came before the router knew more than its configuration's list.

The test holds both services at a byte and was run before the mend: /ready said 200.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -126,6 +126,9 @@
 // Address is the one that is asked.
 func (w *Watch) Address() string { return w.stream.Address() }
 
+// Tried tells whether discovery has been asked once, and has answered or failed to.
+func (w *Watch) Tried() bool { return w.stream.Tried() }
+
 // Close ends the watch for good.
 func (w *Watch) Close() { w.stream.Close() }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -94,6 +94,7 @@
 	names    *[fields]string
 	ids      map[string]*slot // open requests by their names
 	open     int              // slots without an answer
+	ready    func() bool      // nil for from the start
 	closing  bool
 	bowing   bool       // each answer ends its connection
 	until    logic.Time // by which all is answered then; 0 for no bound
@@ -150,6 +151,9 @@
 	return len(d.guests) == 0
 }
 
+// ReadyBy sets what tells whether the router is ready.
+func (d *Door) ReadyBy(ready func() bool) { d.ready = ready }
+
 // Bow goes on as before, but each answer ends its connection, so that clients move elsewhere. Requests that come from
 // now on are answered before until, as the process ends then; 0 for no such bound.
 func (d *Door) Bow(until logic.Time) {
@@ -248,6 +252,10 @@
 	d.open++
 	if w := d.words; w.Ready != "" && m.Method == "GET" && m.Target == w.Ready {
 		m.Drop()
+		if d.bowing || d.ready != nil && !d.ready() {
+			s.refuse(&http1.Bad{Status: 503, Text: "not ready"})
+			return
+		}
 		s.text(appendStatus(make([]byte, 0, 128), 200, "OK"), "ready")
 		return
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -108,6 +108,7 @@
 type Links struct {
 	Register func(register.Hear) (_ Register, known []register.Host, _ error)
 	Desk     func(desk.Hear) (Desk, error)
+	Ready    func() bool // nil for from listening on
 }
 
 // own are this project's own protocols.
@@ -187,6 +188,7 @@
 		return nil, err
 	}
 	i.loop.Do(i.report)
+	i.loop.Do(func() { i.door.ReadyBy(links.Ready) })
 	i.engine.Accept(listener, i.door.Enter)
 	i.log.Info("listening", "address", i.address.String())
 	return i, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,7 +204,8 @@
 			hear.Release(p.News)
 			n.link = platform.Open(p.Platform.Address, loop.Duration(p.Charter.Place.Desk.VoteTimeout), n.watch.Number, hear)
 			return n.link, nil
-		}}, p.Charter, log, nil)
+		},
+		Ready: func() bool { return n.watch.Tried() && n.link.Tried() }}, p.Charter, log, nil)
 	return n, err
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"log/slog"
@@ -40,9 +41,7 @@
 	got, id = r.ask("GET", "quote", "Work-Hint: 300000")
 	require.Equal(t, 200, got.status)
 	require.Equal(t, "for "+id+strings.Repeat("x", 300000), got.body, "an answer may be larger than any request")
-	c := r.client()
-	_, _ = io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-	require.Equal(t, 200, c.read().status)
+	require.Equal(t, 200, r.ready())
 }
 
 // What can't be taken as a task gets an error or a close, and no host hears of it.
@@ -388,3 +387,62 @@
 	_, err := Start(p, slog.New(slog.DiscardHandler))
 	require.Error(t, err)
 }
+
+// gate is a service that accepts connections and says nothing until it is told to go on.
+type gate struct {
+	net.Listener
+	goOn chan string // what to do with the connection that came next
+}
+
+func newGate(t *testing.T) *gate {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g := &gate{l, make(chan string)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				if text := <-g.goOn; text == "" {
+					_ = c.Close()
+				} else {
+					_, _ = io.WriteString(c, text)
+				}
+			}()
+		}
+	}()
+	return g
+}
+
+// A router is ready once it has asked for its list and its feed and has been answered, or has failed to be.
+func TestReadyAfterTheFirstAttemptAtListAndFeed(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	for name, say := range map[string][2]string{
+		"both tell":  {head + `{"revision":2,"complete":true,"members":[]}`, head + `{"type":"stage","object":` + news + "}"},
+		"both fail":  {"", ""},
+		"list is up": {head + `{"revision":2,"complete":true,"members":[]}`, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			list, feed := newGate(t), newGate(t)
+			n, err := Start(post(t, brief(list.Addr().String(), feed.Addr().String())), slog.New(slog.DiscardHandler))
+			require.NoError(t, err)
+			r := &rig{T: t, node: n}
+			t.Cleanup(n.Kill)
+			require.Equal(t, 503, r.ready(), "neither has been heard of")
+			list.goOn <- say[0]
+			r.until(func() bool { return n.watch.Tried() })
+			require.Equal(t, 503, r.ready(), "nothing of the feed")
+			feed.goOn <- say[1]
+			r.until(func() bool { return r.ready() == 200 })
+			n.instance.Bow(time.Minute)
+			require.Equal(t, 503, r.ready(), "no more once it ends")
+		})
+	}
+}
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -271,6 +271,15 @@
 	return c.read(), id
 }
 
+// ready is the status of the router's readiness.
+func (r *rig) ready() int {
+	r.Helper()
+	c := r.client()
+	defer c.Close()
+	_, _ = io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	return c.read().status
+}
+
 func encode(t *testing.T, b map[string]any) string {
 	text, err := json.Marshal(b)
 	require.NoError(t, err)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -86,6 +86,9 @@
 // Address is the one that is spoken to.
 func (l *Link) Address() string { return l.feed.Address() }
 
+// Tried tells whether the feed has been asked for once, and has spoken or failed to.
+func (l *Link) Tried() bool { return l.feed.Tried() }
+
 // Close ends the link; votes under way end as unclear.
 func (l *Link) Close() {
 	l.stop()
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -52,6 +52,7 @@
 	wait    sync.WaitGroup
 
 	telling sync.Mutex
+	tried   atomic.Bool
 }
 
 type run struct {
@@ -72,6 +73,9 @@
 	return s.address
 }
 
+// Tried tells whether a first attempt has been made, whatever came of it: its first value was handled, or it has ended.
+func (s *Stream) Tried() bool { return s.tried.Load() }
+
 // Open starts following, unless the present address is followed already.
 func (s *Stream) Open() {
 	s.mu.Lock()
@@ -126,6 +130,7 @@
 		defer s.telling.Unlock()
 		s.handler.Ended(err)
 	}
+	s.tried.Store(true)
 }
 
 // follow reads one stream to its end.
@@ -209,6 +214,7 @@
 	if err := value(v); err != nil {
 		return err
 	}
+	s.tried.Store(true)
 	if r.spoke.Swap(true) {
 		return nil
 	}
