--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,7 @@
 	r.now = now
 	switch {
 	case a.list:
+		r.asked = now
 		r.hands.WatchHosts()
 	case a.send == nil:
 		r.crowding(40, 6, 0.02, 1.5) // few sends make no line, and one very long task says little
@@ -46,12 +47,13 @@
 
 // ---- The host list ----
 
-// Listed takes in changes to the host list; ok is false when a call for it failed. A failed watch may or may
-// not stand, so it is asked anew: soon, then far slower and spread out, as a service with more callers than it
-// can take answers none in time; yet inside the time after which silence counts as having been told.
+// Listed takes in changes to the host list; ok is false when a call for it failed, or a watch that stood. The
+// latter is asked for anew soon, inside the time after which what it misses counts as told; a call far slower
+// and spread out, as a service with more callers than it can take answers none in time.
 func (r *Router) Listed(now Time, changes []Listing, ok bool) {
 	r.now = now
 	if !ok {
+		r.lost = max(r.lost, map[bool]int{true: 1}[now-r.asked < 3*Second]) // a call ends by then, a watch goes on
 		wait := min(3*Second/8<<min(2*r.lost, 6), max(r.limits.AskWithin, Second)*2/5)
 		r.lost++
 		r.hands.WakeUp(wait+Time(r.chance(int(wait)+1)), &Alarm{list: true})
@@ -217,8 +219,7 @@
 
 // crosses draws whether a task starts far away, as a plan that holds has it.
 func (r *Router) crosses() bool {
-	const grain = 1 << 20
-	return r.now < r.course.Until && r.course.Cross > 0 && float64(r.chance(grain)) < r.course.Cross*grain
+	return r.now < r.course.Until && r.course.Cross > 0 && float64(r.chance(1<<20)) < r.course.Cross*(1<<20)
 }
 
 // mayGo keeps repeats among the hosts that drop them, and off hosts that the task has already tried.
@@ -246,8 +247,7 @@
 	if t.Key != "" && r.desk.KeysStay && (r.news.Phase == OnTrial || r.news.Phase == Released) {
 		sticks = r.kept[t.Key]
 	}
-	level := 0
-	newest := m.newest
+	level, newest := 0, m.newest
 	if 3*m.latest < m.all {
 		level = 1 // too few to carry all, as when a list that is down has not told of the rest
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -101,6 +101,7 @@
 	f, _ := begin(t, nil)
 	f.pass(Second / 100) // a lone router asks at once
 	require.Equal(t, 1, f.asks)
+	f.pass(4 * Second) // a watch stood for a while
 	for n := range 20 {
 		before, failed := f.asks, f.now
 		f.r.Listed(f.now, nil, false)
@@ -120,6 +121,18 @@
 	}
 }
 
+// A call that fails is no watch that stood: who answers it has too many callers, or is down.
+func TestAFirstCallThatFailsIsNotRepeatedSoon(t *testing.T) {
+	f, _ := begin(t, nil)
+	f.pass(Second / 100)
+	f.pass(2 * Second)
+	f.r.Listed(f.now, nil, false)
+	f.pass(Second)
+	require.Equal(t, 1, f.asks)
+	f.pass(3 * Second)
+	require.Equal(t, 2, f.asks)
+}
+
 // A fleet that starts or loses its list at one moment doesn't ask as one, again and again.
 func TestAFleetSpreadsItsCallsForTheList(t *testing.T) {
 	const routers = 60
--- a/logic/types.go
+++ b/logic/types.go
@@ -377,7 +377,8 @@
 	books   []*book
 	counts  []Count
 	ballot  ballot
-	lost    int // list calls that failed in a row
+	lost    int  // list calls that failed in a row
+	asked   Time // when the list was asked for last
 	course  Course
 	muster  muster
 	here    []*Host // scratch for choices among hosts, so that these take no memory
