Hosts of builds that went back, and of earlier ones while the list is out of reach, are left

Build 910 had been withdrawn at 15 s, its hosts drained at 19 s; when 911 was offered, 910 passed for the newest build not on trial (trial, samples.go), and was even preferred (earlier, logic.go).

Now a build that was told to go back is not sent to when the next one is offered; and while the list is out of reach, hosts of builds before one released six seconds ago count as told to drain, as long as some host of the released one is known.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,8 +34,7 @@
 		r.hands.WatchHosts()
 	case a.send == nil:
 		r.crowding(40, 6, 0.02, 1.5) // few sends make no line, and one very long task says little
-		r.hangs()
-		r.relents()
+		r.review()
 		r.gossip()
 		r.scout()
 		r.judge()
@@ -578,15 +577,25 @@
 
 const tardy = 4 // usual times of a host that holds as much, after which a send seems stuck
 
-// hangs finds hosts that take tasks and answer none before these run out of time. When half the fleet or
-// more does so none is to blame.
-func (r *Router) hangs() {
-	const few = 3 // sends
+// review looks at all hosts. One that takes tasks and answers none before these run out of time is sick; when
+// half the fleet or more does so none is to blame. A sick one is tried again once what spoke against it has
+// faded, where peers watch it too: the trickle of one router in hundreds would not find it well for minutes.
+// While the list is out of reach, hosts of builds before one long released count as told to drain.
+func (r *Router) review() {
+	const few, trace = 3, 0.3 // sends; of a bad send
+	const told = 6 * Second   // as the platform has it: what a list would have told counts by then
 	hung := func(h *Host) bool { return h.health == fit && h.stuck(r.now, tardy) >= few }
 	blame := 2*r.count(hung) < r.count(func(h *Host) bool { return h.health == fit })
+	lost := r.lost > 0 && r.now-r.liveAt > told && r.count(func(h *Host) bool { return h.Build == r.live }) > 0
 	for _, h := range r.hosts {
-		if blame && hung(h) {
+		switch {
+		case lost && h.Build < r.live && h.Standing == Serving:
+			h.Standing, h.left, r.muster.counted = Draining, r.now, false
+		case blame && hung(h):
 			r.move(h, fails)
+		case h.health == sick && r.limits.Peers > 0 &&
+			h.words[0].as(r.now).bad+h.rumour(r.now, firsthand, passedOn).bad < trace:
+			r.move(h, works)
 		}
 	}
 }
@@ -670,18 +679,6 @@
 	}
 }
 
-// relents lets a sick host be tried again once what spoke against it has faded, where peers watch it too: the
-// trickle of one router in hundreds would not find it well for minutes.
-func (r *Router) relents() {
-	const trace = 0.3 // of a bad send
-	for _, h := range r.hosts {
-		if h.health == sick && r.limits.Peers > 0 &&
-			h.words[0].as(r.now).bad+h.rumour(r.now, firsthand, passedOn).bad < trace {
-			r.move(h, works)
-		}
-	}
-}
-
 // ---- Evidence ----
 
 // spoken bounds the odds by the number of hosts that speak for them: each may at most quadruple them.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -742,3 +742,59 @@
 	f.serve(200, f.payment, fate)
 	require.Less(t, refused, 100) // two in three sends at random
 }
+
+// While the list is out of reach, what it would have told after a release counts as told all the same.
+func TestHostsOfAnEarlierBuildAreLeftWhenTheListIsOutOfReachAfterARelease(t *testing.T) {
+	for name, x := range map[string]struct {
+		lost  bool
+		after []News
+		old   bool // earlier hosts are still sent to
+	}{
+		"list out of reach":    {true, nil, false},
+		"list stands":          {false, nil, true},
+		"it goes back":         {true, []News{{Build: 2, Stage: 2, Phase: GoingBack}}, true},
+		"it has gone back":     {true, []News{{Build: 2, Phase: Withdrawn}, {Build: 3, Phase: OnTrial, Cap: 0.1}}, true},
+		"the next is on trial": {true, []News{{Build: 3, Phase: OnTrial, Cap: 0.1}}, false},
+	} {
+		f, list := begin(t, nil)
+		f.pass(4 * Second)
+		for i := range list { // a build with too few known hosts to carry all
+			list[i].Build = 1
+		}
+		list[6].Build = 2
+		f.r.Listed(f.now, list, true)
+		f.r.Told(f.now, News{Build: 2, Stage: 2, Phase: Released, Cap: 1})
+		to := func() (old, all int) {
+			before := len(f.sent)
+			f.serve(60, f.quote, fine)
+			for _, s := range f.sent[before:] {
+				if all++; s.Host.Build == 1 {
+					old++
+				}
+			}
+			return old, all
+		}
+		if x.lost {
+			f.r.Listed(f.now, nil, false)
+		}
+		old, _ := to()
+		require.Positive(t, old, "%s: it may still be as it was", name)
+		for _, n := range x.after {
+			f.r.Told(f.now, n)
+		}
+		f.pass(5 * Second)
+		old, all := to()
+		require.Positive(t, all, name)
+		require.Equal(t, x.old, old > 0, name)
+		if x.after != nil && x.after[0].Phase != OnTrial {
+			require.Equal(t, all, old, "%s: a build that goes back is done with", name)
+		}
+		for i := range list {
+			list[i].Standing = Serving
+		}
+		f.r.Listed(f.now, list[:6], true) // the list is back, and has them serve
+		if old, _ = to(); len(x.after) == 0 {
+			require.Positive(t, old, name)
+		}
+	}
+}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -749,7 +749,13 @@
 		}
 		r.offered, r.swell, r.surged = r.now, level, r.now
 	}
-	r.news, r.heard = n, true
+	if r.news, r.heard = n, true; n.Phase == Released {
+		r.live, r.liveAt = n.Build, r.now-n.Age
+	} else if n.Phase != OnTrial {
+		if r.dropped = n.Build; r.live == n.Build {
+			r.live = 0
+		}
+	}
 	r.muster.counted = false
 }
 
@@ -787,6 +793,8 @@
 // announced yet counts as in the first stage.
 func (r *Router) trial(build int) (on bool, stage int, share float64) {
 	switch {
+	case build == r.dropped && build < r.news.Build: // its hosts may still be listed when the next is offered
+		return true, 0, 0
 	case !r.heard || build < r.news.Build || build == r.news.Build && r.news.Phase == Released:
 		return false, 0, 1
 	case build > r.news.Build && len(r.desk.Caps) > 0:
--- a/logic/types.go
+++ b/logic/types.go
@@ -361,9 +361,12 @@
 	}
 	crowd   float64  // what each task that a host holds adds to the time of the next, as a share
 	recent  []sample // finished sends at earlier builds
-	offered Time     // when the newest build was first told
-	staged  Time     // when the present stage was first told
-	swell   swell    // how the fleet has slowed during the trial, and since when
+	live    int      // the newest build known to be released, and since when
+	liveAt  Time
+	dropped int   // the newest build known to go back, or to have gone
+	offered Time  // when the newest build was first told
+	staged  Time  // when the present stage was first told
+	swell   swell // how the fleet has slowed during the trial, and since when
 	surged  Time
 	quickAt Time      // when the fleet was last about as quick as before the trial
 	reports []float64 // what hosts last reported to hold
