Settings that can't be are refused by name, and changes that a running router can't make too

By reading (terms.Read, node.parse, node.Settle): a class of unknown semantics was taken for one that may be repeated, an unknown group for all hosts, a negative or missing time for none; another load report's fields were silently read by the first file's; a change of deadlines was refused by words of another file form. Settings that allow peers, probes or counts made the module wait for what this protocol never brings: a way once poor stayed shut for want of probes.

Now terms.Check names every wrong path at once, SIGHUP names what can't change and then goes over to nothing of the file, and peers, probes and counts are off here. Tests: 20 wrong settings, ten shapes of other customers' served on sockets, six changes refused whole. A test's word for the refusal of another zone is the file's path now, settings.MyZone.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,12 +7,15 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"os"
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"dapplefront/internal/back"
@@ -54,6 +57,7 @@
 	Charter *charter.Charter
 	News    logic.News
 	terms   terms.Terms
+	pairs   terms.Pairs
 }
 
 // Read reads the file that EDGE_CONFIG names; what it leaves out of name, listen and discovery is taken from EDGE_NAME,
@@ -111,19 +115,46 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	p.terms = terms.Read(pairs, seed)
-	switch l := p.terms.Place; {
-	case len(l.Categories) == 0:
-		return nil, errors.New("settings.Categories: at least one expected")
-	case l.Location == "":
-		return nil, errors.New("settings.MyZone is missing")
-	case l.Rank < 0 || l.Rank >= max(1, l.Routers):
-		return nil, errors.New("settings.Rank: less than Balancers expected")
+	if err := terms.Check(pairs); err != nil {
+		return nil, fmt.Errorf("settings.%s", strings.ReplaceAll(err.Error(), "\n", "; settings."))
 	}
+	p.pairs, p.terms = pairs, terms.Read(pairs, seed)
+	// Whatever the settings allow: the platform's protocol has no messages between routers, no probes and no counts, and
+	// the module must not wait for what never comes.
+	p.terms.Place.Limits.Peers, p.terms.Place.Limits.Probes, p.terms.Place.Desk.Counted = 0, false, 0
 	p.Charter = p.charter(pairs)
 	return p, nil
 }
 
+// fixed are the settings that a running router can't change, by the ends of their paths.
+var fixed = []string{"MyZone", ".count", ".Name", ".Semantics", ".DedupScope", ".WindowUs", ".DeadlineUs", "Report.Fields",
+	"Permissions.ConnIdleUs", "Permissions.ConnectTimeoutUs", "Extra.CallTimeoutUs"}
+
+// changes tells by name what of another configuration a running router can't go over to.
+func (p *Post) changes(to *Post) error {
+	var all []string
+	if p.Name != to.Name {
+		all = append(all, "name")
+	}
+	if p.Listen != to.Listen {
+		all = append(all, "listen")
+	}
+	if p.Limits != to.Limits {
+		all = append(all, "limits")
+	}
+	paths := maps.Clone(p.pairs)
+	maps.Copy(paths, to.pairs)
+	for _, path := range slices.Sorted(maps.Keys(paths)) {
+		if p.pairs[path] != to.pairs[path] && slices.ContainsFunc(fixed, func(end string) bool { return strings.HasSuffix(path, end) }) {
+			all = append(all, "settings."+path)
+		}
+	}
+	if len(all) > 0 {
+		return fmt.Errorf("%s: can't change in a running router", strings.Join(all, ", "))
+	}
+	return nil
+}
+
 var wording = &front.Wording{Category: "Request-Class", Customer: "Tenant", Patience: "Request-Timeout-Ms",
 	Mark: "Idempotency-Key", Key: "Affinity-Key", Hint: "Work-Hint", Again: "Client-Retry", ID: "Request-Id", Exact: true,
 	HintIn: 100, Decimal: true, Ready: "/ready"}
@@ -212,11 +243,11 @@
 // Settle goes over to another configuration: its addresses at once, its settings from one event to the next. What tells
 // of the past in it - seed, list, news - is of a start alone. With an error nothing has changed.
 func (n *Node) Settle(p *Post) error {
-	if p.Name != n.post.Name || p.Listen != n.post.Listen {
-		return errors.New("name and listen can't change in a running router")
+	if err := n.post.changes(p); err != nil {
+		return err
 	}
 	p.Charter.Place.Seed = n.post.Charter.Place.Seed
-	p.Charter.Reach.Signs = n.post.Charter.Reach.Signs
+	p.Charter.Reach.Signs = n.post.Charter.Reach.Signs // reads the same fields, as changes makes sure
 	if !reflect.DeepEqual(p.Charter, n.post.Charter) {
 		if err := n.instance.Settle(p.Charter); err != nil {
 			return err
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -325,7 +326,7 @@
 	require.Error(t, r.node.Settle(post(t, other)))
 	other = brief(next.address(), next.address())
 	other["settings"].(map[string]any)["MyZone"] = "elsewhere"
-	require.ErrorContains(t, r.node.Settle(post(t, other)), "location")
+	require.ErrorContains(t, r.node.Settle(post(t, other)), "settings.MyZone")
 }
 
 func TestAPlannedEndServesWhatStillComesAndAnswersAllItHolds(t *testing.T) {
@@ -446,3 +447,122 @@
 		})
 	}
 }
+
+// settings is a part of a configuration's settings, by its path.
+func settings(b map[string]any, path ...string) map[string]any {
+	at := b["settings"].(map[string]any)
+	for _, p := range path {
+		at = at[p].(map[string]any)
+	}
+	return at
+}
+
+func class(b map[string]any, n int) map[string]any {
+	return settings(b)["Categories"].([]any)[n].(map[string]any)
+}
+
+func TestSettingsThatCanNotBeAreRefusedByName(t *testing.T) {
+	for where, change := range map[string]func(map[string]any){
+		"settings.Obligations.DrainGraceUs: a number":      func(b map[string]any) { settings(b, "Obligations")["DrainGraceUs"] = -1 },
+		"settings.Obligations.DrainGraceUs: missing":       func(b map[string]any) { delete(settings(b, "Obligations"), "DrainGraceUs") },
+		"settings.Obligations.StartCapacity":               func(b map[string]any) { settings(b, "Obligations")["StartCapacity"] = 1.5 },
+		"settings.Obligations.AskWithinUs":                 func(b map[string]any) { settings(b, "Obligations")["AskWithinUs"] = "soon" },
+		"settings.Permissions.MaxAttempts":                 func(b map[string]any) { settings(b, "Permissions")["MaxAttempts"] = 0 },
+		"settings.Permissions.ConnIdleUs":                  func(b map[string]any) { settings(b, "Permissions")["ConnIdleUs"] = 1e13 },
+		"settings.Permissions.RetryAfter":                  func(b map[string]any) { settings(b, "Permissions")["RetryAfter"] = "perhaps" },
+		"settings.RegistryMode":                            func(b map[string]any) { settings(b)["RegistryMode"] = "guessed" },
+		"settings.Balancers":                               func(b map[string]any) { settings(b)["Balancers"] = 2.5 },
+		"settings.Extra.StageCap.1":                        func(b map[string]any) { settings(b, "Extra")["StageCap"] = []float64{0.1, 2} },
+		"settings.Extra.Control":                           func(b map[string]any) { settings(b, "Extra")["Control"] = "whim" },
+		"settings.Categories.1.Semantics":                  func(b map[string]any) { class(b, 1)["Semantics"] = "sometimes" },
+		"settings.Categories.1.DedupScope":                 func(b map[string]any) { delete(class(b, 1), "DedupScope") },
+		"settings.Categories.1.WindowUs: missing":          func(b map[string]any) { delete(class(b, 1), "WindowUs") },
+		"settings.Categories.2.DeadlineUs":                 func(b map[string]any) { class(b, 2)["DeadlineUs"] = 0 },
+		"settings.Categories.0.AimUs: missing":             func(b map[string]any) { delete(class(b, 0), "AimUs") },
+		`settings.Categories.2.Name: "quote" stands twice`: func(b map[string]any) { class(b, 2)["Name"] = "quote" },
+		"settings.Parties.0.QuotaPerS": func(b map[string]any) {
+			settings(b)["Parties"] = []any{map[string]any{"Name": "a", "QuotaPerS": -3}}
+		},
+	} {
+		b := brief("127.0.0.1:1", "127.0.0.1:2")
+		change(b)
+		_, err := parse([]byte(encode(t, b)))
+		require.ErrorContains(t, err, where)
+	}
+	b := brief("127.0.0.1:1", "127.0.0.1:2")
+	class(b, 0)["AimUs"], class(b, 1)["AimUs"] = -1, "x"
+	_, err := parse([]byte(encode(t, b)))
+	require.ErrorContains(t, err, "settings.Categories.0.AimUs")
+	require.ErrorContains(t, err, "settings.Categories.1.AimUs", "all at once")
+}
+
+// Other customers: one class or a dozen, tenants, lists that are pushed, and things allowed that this protocol has not.
+func TestSettingsOfOtherCustomersAreServedBy(t *testing.T) {
+	for name, change := range map[string]func(map[string]any){
+		"one class": func(b map[string]any) { settings(b)["Categories"] = settings(b)["Categories"].([]any)[:1] },
+		"a dozen": func(b map[string]any) {
+			all := settings(b)["Categories"].([]any)
+			for n := range 9 {
+				c := maps.Clone(all[n%3].(map[string]any))
+				c["Name"] = fmt.Sprint("more-", n)
+				all = append(all, c)
+			}
+			settings(b)["Categories"] = all
+		},
+		"tenants": func(b map[string]any) {
+			settings(b)["Parties"] = []any{map[string]any{"Name": "a", "QuotaPerS": 5}, map[string]any{"Name": "b", "QuotaPerS": 7.5}}
+		},
+		"pushed": func(b map[string]any) { settings(b)["RegistryMode"] = "pushed" },
+		"peers and probes": func(b map[string]any) {
+			settings(b, "Permissions")["Peers"], settings(b, "Permissions")["Probes"] = true, true
+		},
+		"counts": func(b map[string]any) {
+			settings(b, "Extra")["MetricsPeriodUs"], settings(b, "Extra")["SampledShare"] = 1000000, 0.5
+		},
+		"no load report":      func(b map[string]any) { settings(b)["Report"] = map[string]any{"Fields": []string{}, "How": "off"} },
+		"second copies":       func(b map[string]any) { settings(b, "Permissions")["SecondCopies"] = true },
+		"small limits":        func(b map[string]any) { b["limits"] = map[string]any{"cores": 0.1, "memory_mb": 24, "sockets": 64} },
+		"no releases by vote": func(b map[string]any) { settings(b)["Extra"] = map[string]any{} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newMachine(t, "a", right)
+			at := newPlace(t, m.entry())
+			b := brief(at.address(), at.address())
+			change(b)
+			p := post(t, b)
+			require.False(t, p.Charter.Place.Limits.Probes || p.Charter.Place.Limits.Peers > 0 || p.Charter.Place.Desk.Counted > 0,
+				"no wait for what the protocol has not")
+			n, err := Start(p, slog.New(slog.DiscardHandler))
+			require.NoError(t, err)
+			t.Cleanup(n.Kill)
+			r := &rig{T: t, node: n, place: at}
+			r.until(func() bool { got, _ := r.ask("GET", "quote", ""); return got.status == 200 })
+		})
+	}
+}
+
+// A change that a running router can't make is refused whole, by name, and the addresses of that file are not gone over to.
+func TestAChangeThatCanNotBeIsRefusedWhole(t *testing.T) {
+	r := start(t, newMachine(t, "a", right))
+	next := newPlace(t)
+	for where, change := range map[string]func(map[string]any){
+		"settings.Report.Fields":           func(b map[string]any) { settings(b, "Report")["Fields"] = []string{"cpu"} },
+		"settings.Categories.1.DeadlineUs": func(b map[string]any) { class(b, 1)["DeadlineUs"] = 2000000 },
+		"settings.Categories.2.Name":       func(b map[string]any) { class(b, 2)["Name"] = "settle" },
+		"settings.Categories.count":        func(b map[string]any) { settings(b)["Categories"] = settings(b)["Categories"].([]any)[:2] },
+		"limits":                           func(b map[string]any) { b["limits"].(map[string]any)["sockets"] = 300 },
+		"settings.Permissions.ConnIdleUs":  func(b map[string]any) { settings(b, "Permissions")["ConnIdleUs"] = 9000000 },
+	} {
+		b := brief(next.address(), next.address())
+		change(b)
+		require.ErrorContains(t, r.node.Settle(post(t, b)), where)
+	}
+	require.Equal(t, r.place.address(), r.node.watch.Address())
+	require.Zero(t, next.asked.Load())
+	b := brief(r.place.address(), r.place.address()) // what may change does
+	settings(b, "Obligations")["DrainGraceUs"], class(b, 0)["AimUs"] = 500000, 200000
+	require.NoError(t, r.node.Settle(post(t, b)))
+	got, _ := r.ask("GET", "quote", "")
+	require.Equal(t, 200, got.status)
+}
