A second signal to end, or one to reload meanwhile, cuts nothing off

By reading (cmd/dapplefront/node.go): the second SIGTERM closed 'cut' and lost what was held. Tests on sockets: signals of both kinds while a request is held; an answer of 900 KB whose client reads slowly is whole before the process ends (fails where open requests alone are waited for).

--- a/cmd/dapplefront/node.go
+++ b/cmd/dapplefront/node.go
@@ -27,34 +27,10 @@
 			end, anew := make(chan os.Signal, 2), make(chan os.Signal, 1)
 			signal.Notify(end, syscall.SIGTERM, os.Interrupt)
 			signal.Notify(anew, syscall.SIGHUP)
-			p, err := node.Read(file)
-			if err != nil {
-				return err
-			}
-			p.Keep()
-			n, err := node.Start(p, l)
-			if err != nil {
-				return err
-			}
-			for {
-				select {
-				case <-anew:
-					next, err := node.Read(file)
-					if err == nil {
-						err = n.Settle(next)
-					}
-					if err != nil {
-						l.Error("the configuration is not changed", "file", file, "error", err)
-					}
-				case sign := <-end:
-					l.Info("retiring", "signal", sign.String())
-					cut := make(chan struct{})
-					go func() { <-end; close(cut) }()
-					if left := n.Retire(cut); left > 0 {
-						return exit(1)
-					}
-					return nil
-				}
+			left, err := node.Run(file, l, end, anew)
+			if err == nil && left > 0 {
+				err = exit(1)
 			}
+			return err
 		}}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -566,3 +567,102 @@
 	got, _ := r.ask("GET", "quote", "")
 	require.Equal(t, 200, got.status)
 }
+
+// A router that is told to end twice, or to read its file anew meanwhile, answers what it holds all the same.
+func TestSignalsWhileTheRouterEndsCutNothingOff(t *testing.T) {
+	goOn := make(chan bool)
+	m := newMachine(t, "a", waiting(goOn))
+	at := newPlace(t, m.entry())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := brief(at.address(), at.address())
+	b["listen"] = l.Addr().String()
+	_ = l.Close()
+	file := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(file, []byte(encode(t, b)), 0o600))
+	end, reload, ended := make(chan os.Signal), make(chan os.Signal), make(chan int, 1)
+	go func() {
+		left, err := Run(file, slog.New(slog.DiscardHandler), end, reload)
+		if err != nil {
+			left = -1
+		}
+		ended <- left
+	}()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", b["listen"].(string))
+		if err != nil {
+			return nil
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c
+	}
+	require.Eventually(t, func() bool {
+		c := dial()
+		if c == nil {
+			return false
+		}
+		text, _ := request("GET", "quote")
+		_, _ = io.WriteString(c, text)
+		return (&client{c, bufio.NewReader(c)}).read().status == 200
+	}, 20*time.Second, time.Millisecond)
+	require.NoError(t, os.WriteFile(file, []byte("half a fi"), 0o600))
+	reload <- syscall.SIGHUP // changes nothing
+	held := dial()
+	text, id := request("POST", "order", "Idempotency-Key: k")
+	_, _ = io.WriteString(held, text)
+	for q := range m.seen {
+		if q.Header.Get("Request-Id") == id {
+			break
+		}
+	}
+	end <- syscall.SIGTERM
+	end <- syscall.SIGTERM
+	reload <- syscall.SIGHUP
+	end <- syscall.SIGTERM
+	goOn <- true
+	got := (&client{held, bufio.NewReader(held)}).read()
+	require.Equal(t, 200, got.status)
+	require.Equal(t, "for "+id, got.body)
+	require.True(t, got.closes)
+	require.Zero(t, <-ended)
+}
+
+// An answer that its client reads slowly is read whole before the router ends.
+func TestTheLastAnswerIsReadBeforeTheRouterEnds(t *testing.T) {
+	const size = 900 << 10
+	m := newMachine(t, "a", func(c net.Conn, q *http.Request, b []byte) bool {
+		if q.Method == "POST" {
+			say(c, 200, strings.Repeat("x", size))
+			return true
+		}
+		return right(c, q, b)
+	})
+	r := start(t, m)
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error { // a small window, told before connecting
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	c, err := d.Dial("tcp", r.node.instance.Address().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	text, _ := request("POST", "pay")
+	_, _ = io.WriteString(c, text)
+	in := bufio.NewReaderSize(c, 512)
+	_, err = in.Peek(100) // it is on its way
+	require.NoError(t, err)
+	ended := make(chan int, 1)
+	n := r.node
+	r.node = nil
+	go func() { ended <- n.instance.Drain(20*time.Second, nil) }()
+	require.Eventually(t, func() bool { // it has begun to end
+		other, err := net.Dial("tcp", n.instance.Address().String())
+		if err == nil {
+			_ = other.Close()
+		}
+		return err != nil
+	}, 20*time.Second, time.Millisecond)
+	got := (&client{c, in}).read()
+	require.Equal(t, 200, got.status)
+	require.Len(t, got.body, size)
+	require.Zero(t, <-ended)
+}
