--- a/internal/front/door_test.go
+++ b/internal/front/door_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -194,3 +195,33 @@
 	h.scrap(open)
 	require.Equal(t, 502, second.status())
 }
+
+// An answer that has not left whole keeps its connection, whoever would close it as idle.
+func TestAnAnswerThatIsOnItsWayKeepsItsConnection(t *testing.T) {
+	for name, closes := range map[string]func(*Door){
+		"the router ends": (*Door).Close,
+		"a newcomer":      func(d *Door) { d.room() },
+		"the sweep":       func(d *Door) { d.welcome.Idle = 0; d.sweep() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHouse(t, func(w *Welcome) { w.Spare = time.Nanosecond })
+			v := h.visit()
+			v.ask()
+			c := <-h.taken
+			body := bytes.Repeat([]byte("0123456789abcdef"), 1<<20) // more than the kernel keeps
+			pending := 0
+			h.loop.Do(func() {
+				c.Finish(&http1.Message{Status: 200, Reason: "OK", Body: body}, 1)
+				h.guest().heard.Store(0) // long ago
+				pending, _ = h.guest().conn.Pending()
+				closes(h.door)
+			})
+			require.Positive(t, pending)
+			got, err := http.ReadResponse(v.in, nil)
+			require.NoError(t, err)
+			text, err := io.ReadAll(got.Body)
+			require.NoError(t, err)
+			require.True(t, bytes.Equal(body, text))
+		})
+	}
+}
--- a/internal/front/guest.go
+++ b/internal/front/guest.go
@@ -159,10 +159,13 @@
 	g.conn.Close()
 }
 
-// leaveIdle does so if nothing of a request has come that is not answered, wherever it may be on its way; it tells
-// whether that was so.
+// leaveIdle does so if nothing of a request has come that is not answered, wherever it may be on its way, and the last
+// answer has left; it tells whether that was so.
 func (g *guest) leaveIdle() bool {
-	idle := g.conn.CloseIdle(func() bool { return g.begun.Load() == 0 && g.owed.Load() == 0 })
+	idle := g.conn.CloseIdle(func() bool {
+		pending, _ := g.conn.Pending()
+		return g.begun.Load() == 0 && g.owed.Load() == 0 && pending == 0
+	})
 	if idle {
 		g.leave()
 	}
