--- a/logic/logic.go
+++ b/logic/logic.go
@@ -586,7 +586,7 @@
 	const told = 6 * Second   // as the platform has it: what a list would have told counts by then
 	hung := func(h *Host) bool { return h.health == fit && h.stuck(r.now, tardy) >= few }
 	blame := 2*r.count(hung) < r.count(func(h *Host) bool { return h.health == fit })
-	lost := r.lost > 0 && r.now-r.liveAt > told && r.count(func(h *Host) bool { return h.Build == r.live }) > 0
+	lost := r.lost > 0 && r.now-r.liveAt > told // where no later host is known there is none to send to
 	for _, h := range r.hosts {
 		switch {
 		case lost && h.Build < r.live && h.Standing == Serving:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -798,3 +798,16 @@
 		}
 	}
 }
+
+// Where no host of the released build is known either, what comes is turned back: hosts that are told to drain get nothing.
+func TestWithoutAListAfterAReleaseNothingIsBetterThanADrainedHost(t *testing.T) {
+	f, _ := begin(t, nil)
+	f.pass(4 * Second)
+	f.r.Told(f.now, News{Build: 3, Stage: 2, Phase: Released, Cap: 1})
+	f.r.Listed(f.now, nil, false)
+	f.pass(7 * Second)
+	sent, turned := len(f.sent), len(f.turned)
+	f.serve(20, f.quote, fine)
+	require.Len(t, f.sent, sent)
+	require.Len(t, f.turned, turned+20)
+}
