--- a/logic/logic.go
+++ b/logic/logic.go
@@ -341,7 +341,7 @@
 func (r *Router) place(t *Task) {
 	h := r.onTrial(t)
 	if h != nil && t.Category.Repeat == Retriable && r.limits.TwoAtOnce {
-		if first := r.earlier(t); first != nil {
+		if first := r.earlier(t); first != nil && r.old(first) { // else both would go to the build on trial
 			r.send(t, first, original)
 		}
 		r.send(t, h, copied)
@@ -465,7 +465,7 @@
 	left := t.at + t.Patience - r.now
 	last := t.Sends[len(t.Sends)-1]
 	first := last.role == lone || last.fate == NoAnswer && !r.limits.TwoAtOnce // this router cut it short
-	if len(t.Sends) >= r.limits.MaxSends || left < t.Category.mid/2 || !first && !r.spare(t.Category) {
+	if len(t.Sends) >= r.limits.MaxSends || left <= t.Category.mid/2 || !first && !r.spare(t.Category) {
 		return false
 	}
 	h := r.earlier(t)
