--- a/logic/logic.go
+++ b/logic/logic.go
@@ -523,7 +523,8 @@
 	case t.risky == nil || s.at < t.risky.at:
 		t.risky = s
 	}
-	if fate == Finished && r.desk.KeysStay && t.Key != "" && s.build >= r.news.Build {
+	both := r.news.Phase == OnTrial || r.standing().latest < r.standing().all // builds a key could go between
+	if fate == Finished && r.desk.KeysStay && t.Key != "" && s.build >= r.news.Build && both {
 		r.kept[t.Key] = s.build
 	}
 	r.step(t, in)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -811,3 +811,33 @@
 	require.Len(t, f.sent, sent)
 	require.Len(t, f.turned, turned+20)
 }
+
+// What is kept of keys ends with the time in which they could go from one build to the other.
+func TestKeysAreKeptNoLongerThanTwoBuildsServe(t *testing.T) {
+	f, list := begin(t, func(p *Place) { p.Desk.KeysStay = true })
+	keyed := func(n int) {
+		for i := range n {
+			x := &Task{Category: f.quote, Patience: 3 * Second, Key: string(rune('a' + i))}
+			f.r.Take(f.now, x)
+			for _, s := range x.Sends {
+				f.end(s, Finished, Second/20)
+			}
+			f.pass(Second / 20)
+		}
+	}
+	f.pass(5 * Second)
+	f.r.Told(f.now, News{Build: 2, Stage: 2, Phase: Released, Cap: 1})
+	list[0].Build = 2
+	f.r.Listed(f.now, list, true)
+	keyed(20)
+	require.NotEmpty(t, f.r.kept, "earlier hosts still serve")
+	for i := range list {
+		list[i].Build = 2
+	}
+	f.r.Listed(f.now, list, true)
+	before := len(f.r.kept)
+	keyed(26)
+	require.Len(t, f.r.kept, before, "one build alone")
+	f.r.Told(f.now, News{Build: 3, Phase: OnTrial, Cap: 0.1})
+	require.Empty(t, f.r.kept)
+}
--- a/logic/samples.go
+++ b/logic/samples.go
@@ -748,6 +748,7 @@
 			c.calm = c.mid
 		}
 		r.offered, r.swell, r.surged = r.now, level, r.now
+		clear(r.kept) // no key stays with the build before, which serves them all or has gone back
 	}
 	if r.news, r.heard = n, true; n.Phase == Released {
 		r.live, r.liveAt = n.Build, r.now-n.Age
