--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -841,3 +841,15 @@
 	f.r.Told(f.now, News{Build: 3, Phase: OnTrial, Cap: 0.1})
 	require.Empty(t, f.r.kept)
 }
+
+// Where no earlier host is left, a request doesn't go to the build on trial twice.
+func TestOneRequestHasOneAttemptOnTrialWhereNoEarlierHostIsLeft(t *testing.T) {
+	f, list := begin(t, nil)
+	f.r.Told(f.now, News{Build: 2, Phase: OnTrial, Cap: 0.1})
+	for i := range list[:6] {
+		list[i].Standing = Gone
+	}
+	f.r.Listed(f.now, list, true)
+	f.pass(5 * Second) // beyond the window after a start
+	require.Len(t, f.take(f.quote).Sends, 1, "one is free in a window")
+}
