--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,5 +1,5 @@
-// Package node runs a router on the operators' platform: it reads what the platform tells at start, makes a charter and
-// links of it, and heeds the platform's signals. All that it serves by is the instance's, as for any other router.
+// Package node runs a router on the operators' platform: it reads the platform's configuration, makes a charter and
+// links of it, and obeys the platform's signals. All that it serves by is the instance's, as for any other router.
 package node
 
 import (
@@ -32,8 +32,8 @@
 	"dapplefront/logic"
 )
 
-// Brief is the platform's configuration file.
-type Brief struct {
+// Config is the platform's configuration file.
+type Config struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
@@ -51,9 +51,9 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// Post is a brief that has been read whole and checked, and what follows from it.
-type Post struct {
-	Brief
+// Setup is a configuration that has been read whole and checked, and what follows from it.
+type Setup struct {
+	Config
 	Charter *charter.Charter
 	News    logic.News
 	terms   terms.Terms
@@ -62,7 +62,7 @@
 
 // Read reads the file that EDGE_CONFIG names; what it leaves out of name, listen and discovery is taken from EDGE_NAME,
 // EDGE_LISTEN and EDGE_DISCOVERY. An error names the file and what is wrong in it.
-func Read(file string) (*Post, error) {
+func Read(file string) (*Setup, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
@@ -74,9 +74,9 @@
 	return p, nil
 }
 
-func parse(text []byte) (*Post, error) {
-	p := &Post{}
-	if err := json.Unmarshal(text, &p.Brief); err != nil {
+func parse(text []byte) (*Setup, error) {
+	p := &Setup{}
+	if err := json.Unmarshal(text, &p.Config); err != nil {
 		var at *json.SyntaxError
 		if errors.As(err, &at) {
 			return nil, fmt.Errorf("byte %d: %w", at.Offset, err)
@@ -131,7 +131,7 @@
 	"Permissions.ConnIdleUs", "Permissions.ConnectTimeoutUs", "Extra.CallTimeoutUs"}
 
 // changes tells by name what of another configuration a running router can't go over to.
-func (p *Post) changes(to *Post) error {
+func (p *Setup) changes(to *Setup) error {
 	var all []string
 	if p.Name != to.Name {
 		all = append(all, "name")
@@ -160,7 +160,7 @@
 	HintIn: 100, Decimal: true, Ready: "/ready"}
 
 // charter is what an instance is told.
-func (p *Post) charter(pairs terms.Pairs) *charter.Charter {
+func (p *Setup) charter(pairs terms.Pairs) *charter.Charter {
 	const (
 		head, body = 16 << 10, 64 << 10
 		answer     = 1 << 20         // answers of over 64 KiB were seen: 8 in 100 on one day
@@ -201,7 +201,7 @@
 }
 
 // signs is how hosts are spoken to. Its load report is read by the fields that the settings name.
-func (p *Post) signs() *back.Signs {
+func (p *Setup) signs() *back.Signs {
 	return &back.Signs{Within: "Request-Timeout-Ms", Unseen: "Not-Started", Turned: []int{503, 504}, Only: true, Whole: true,
 		Load: func(m *http1.Message) (*logic.Load, error) {
 			text, ok := m.Lookup("Server-Load")
@@ -214,7 +214,7 @@
 
 // Node is a router that serves on the platform.
 type Node struct {
-	post     *Post
+	setup    *Setup
 	log      *slog.Logger
 	instance *instance.Instance
 	watch    *discovery.Watch
@@ -222,8 +222,8 @@
 }
 
 // Start starts a router; it listens when Start returns.
-func Start(p *Post, log *slog.Logger) (*Node, error) {
-	n := &Node{post: p, log: log}
+func Start(p *Setup, log *slog.Logger) (*Node, error) {
+	n := &Node{setup: p, log: log}
 	var err error
 	n.instance, err = instance.StartBy(instance.Links{
 		Register: func(hear register.Hear) (instance.Register, []register.Host, error) {
@@ -240,32 +240,32 @@
 	return n, err
 }
 
-// Settle goes over to another configuration: its addresses at once, its settings from one event to the next. What tells
+// Reload goes over to another configuration: its addresses at once, its settings from one event to the next. What tells
 // of the past in it - seed, list, news - is of a start alone. With an error nothing has changed.
-func (n *Node) Settle(p *Post) error {
-	if err := n.post.changes(p); err != nil {
+func (n *Node) Reload(p *Setup) error {
+	if err := n.setup.changes(p); err != nil {
 		return err
 	}
-	p.Charter.Place.Seed = n.post.Charter.Place.Seed
-	p.Charter.Reach.Signs = n.post.Charter.Reach.Signs // reads the same fields, as changes makes sure
-	if !reflect.DeepEqual(p.Charter, n.post.Charter) {
+	p.Charter.Place.Seed = n.setup.Charter.Place.Seed
+	p.Charter.Reach.Signs = n.setup.Charter.Reach.Signs // reads the same fields, as changes makes sure
+	if !reflect.DeepEqual(p.Charter, n.setup.Charter) {
 		if err := n.instance.Settle(p.Charter); err != nil {
 			return err
 		}
 	}
 	n.watch.Move(p.Discovery)
 	n.link.Move(p.Platform.Address)
-	n.post = p
+	n.setup = p
 	n.log.Info("configuration anew", "discovery", p.Discovery, "platform", p.Platform.Address)
 	return nil
 }
 
-// Retire ends the router as planned: for a while it goes on serving, as new connections still come, but each answer
+// Shutdown ends the router as planned: for a while it goes on serving, as new connections still come, but each answer
 // ends its connection; then it closes and waits for what it holds. It returns how many tasks were cut off.
-func (n *Node) Retire(cut <-chan struct{}) int {
+func (n *Node) Shutdown(cut <-chan struct{}) int {
 	const still, early = 750 * time.Millisecond, 200 * time.Millisecond // what arrives in the first 0.7 s is served
 	const read = 100 * time.Millisecond                                 // for the last answers to be read
-	within := n.post.Charter.Drain - early
+	within := n.setup.Charter.Drain - early
 	n.instance.Bow(still + within - read)
 	select {
 	case <-time.After(still):
@@ -274,12 +274,12 @@
 	return n.instance.Drain(within, cut)
 }
 
-// Kill ends the router at once.
-func (n *Node) Kill() { n.instance.Kill() }
+// Close ends the router at once.
+func (n *Node) Close() { n.instance.Kill() }
 
 // Keep holds the process to its limits: one core's worth of work at a time for a share of a core, and the collector
 // within memory, of which the kernel's and the binary's part is left out.
-func (p *Post) Keep() {
+func (p *Setup) Keep() {
 	runtime.GOMAXPROCS(max(1, int(p.Limits.Cores)))
 	debug.SetMemoryLimit(int64(p.Limits.MemoryMB) << 20 * 6 / 10)
 	debug.SetGCPercent(200)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -126,12 +126,12 @@
 
 func TestSilentConnectionsMakeRoomForThoseThatAsk(t *testing.T) {
 	r := start(t, newMachine(t, "a", right))
-	for range 2 * r.node.post.Charter.Welcome.Links {
+	for range 2 * r.node.setup.Charter.Welcome.Links {
 		r.client()
 	}
 	r.until(func() bool { got, _ := r.ask("GET", "quote", ""); return got.status == 200 })
 	_, guests, _, _ := r.node.instance.Held()
-	require.LessOrEqual(t, guests, r.node.post.Charter.Welcome.Links)
+	require.LessOrEqual(t, guests, r.node.setup.Charter.Welcome.Links)
 }
 
 // What a host's answer means for a task that must not run twice: only what surely never ran goes to another host.
@@ -272,9 +272,9 @@
 func TestWhatTheFileLeavesOutIsTakenFromTheEnvironment(t *testing.T) {
 	t.Setenv("EDGE_NAME", "n7")
 	t.Setenv("EDGE_LISTEN", "127.0.0.1:9001")
-	b := brief("127.0.0.1:1", "127.0.0.1:2")
+	b := config("127.0.0.1:1", "127.0.0.1:2")
 	delete(b, "name")
-	p := post(t, b)
+	p := setup(t, b)
 	require.Equal(t, "n7", p.Charter.Name)
 	require.Equal(t, "127.0.0.1:0", p.Charter.Listen, "the file goes first")
 }
@@ -313,21 +313,21 @@
 			n++
 		}
 	}()
-	b := brief(next.address(), next.address())
+	b := config(next.address(), next.address())
 	b["seed"] = "1"
-	require.NoError(t, r.node.Settle(post(t, b)))
+	require.NoError(t, r.node.Reload(setup(t, b)))
 	r.until(func() bool { return next.asked.Load() == 2 })
 	r.place.CloseClientConnections()
 	next.said <- `{"revision":3,"complete":false,"members":[` + strings.Replace(m.entry(), `"a"`, `"b"`, 1) + `]}`
 	r.until(func() bool { _, known := r.node.watch.Number("b", time.Now()); return known })
 	close(stop)
 	require.Positive(t, <-done)
-	other := brief(next.address(), next.address())
+	other := config(next.address(), next.address())
 	other["name"] = "n9"
-	require.Error(t, r.node.Settle(post(t, other)))
-	other = brief(next.address(), next.address())
+	require.Error(t, r.node.Reload(setup(t, other)))
+	other = config(next.address(), next.address())
 	other["settings"].(map[string]any)["MyZone"] = "elsewhere"
-	require.ErrorContains(t, r.node.Settle(post(t, other)), "settings.MyZone")
+	require.ErrorContains(t, r.node.Reload(setup(t, other)), "settings.MyZone")
 }
 
 func TestAPlannedEndServesWhatStillComesAndAnswersAllItHolds(t *testing.T) {
@@ -350,7 +350,7 @@
 	c, err := net.Dial("tcp", n.instance.Address().String())
 	require.NoError(t, err, "new ones still come")
 	_ = c.Close()
-	go func() { ended <- n.Retire(nil) }()
+	go func() { ended <- n.Shutdown(nil) }()
 	close(goOn)
 	require.Equal(t, 200, held.read().status)
 	require.Zero(t, <-ended)
@@ -380,11 +380,11 @@
 		"settings.MyZone":     func(b map[string]any) { delete(b["settings"].(map[string]any), "MyZone") },
 		"settings.Rank":       func(b map[string]any) { b["settings"].(map[string]any)["Rank"] = 7 },
 	} {
-		b := brief("127.0.0.1:1", "127.0.0.1:2")
+		b := config("127.0.0.1:1", "127.0.0.1:2")
 		change(b)
 		require.ErrorContains(t, read(encode(t, b)), where)
 	}
-	p := post(t, brief("127.0.0.1:1", "127.0.0.1:2"))
+	p := setup(t, config("127.0.0.1:1", "127.0.0.1:2"))
 	p.Charter.Listen = "127.0.0.1:99999"
 	_, err := Start(p, slog.New(slog.DiscardHandler))
 	require.Error(t, err)
@@ -433,10 +433,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			list, feed := newGate(t), newGate(t)
-			n, err := Start(post(t, brief(list.Addr().String(), feed.Addr().String())), slog.New(slog.DiscardHandler))
+			n, err := Start(setup(t, config(list.Addr().String(), feed.Addr().String())), slog.New(slog.DiscardHandler))
 			require.NoError(t, err)
 			r := &rig{T: t, node: n}
-			t.Cleanup(n.Kill)
+			t.Cleanup(n.Close)
 			require.Equal(t, 503, r.ready(), "neither has been heard of")
 			list.goOn <- say[0]
 			r.until(func() bool { return n.watch.Tried() })
@@ -485,12 +485,12 @@
 			settings(b)["Parties"] = []any{map[string]any{"Name": "a", "QuotaPerS": -3}}
 		},
 	} {
-		b := brief("127.0.0.1:1", "127.0.0.1:2")
+		b := config("127.0.0.1:1", "127.0.0.1:2")
 		change(b)
 		_, err := parse([]byte(encode(t, b)))
 		require.ErrorContains(t, err, where)
 	}
-	b := brief("127.0.0.1:1", "127.0.0.1:2")
+	b := config("127.0.0.1:1", "127.0.0.1:2")
 	class(b, 0)["AimUs"], class(b, 1)["AimUs"] = -1, "x"
 	_, err := parse([]byte(encode(t, b)))
 	require.ErrorContains(t, err, "settings.Categories.0.AimUs")
@@ -529,14 +529,14 @@
 			t.Parallel()
 			m := newMachine(t, "a", right)
 			at := newPlace(t, m.entry())
-			b := brief(at.address(), at.address())
+			b := config(at.address(), at.address())
 			change(b)
-			p := post(t, b)
+			p := setup(t, b)
 			require.False(t, p.Charter.Place.Limits.Probes || p.Charter.Place.Limits.Peers > 0 || p.Charter.Place.Desk.Counted > 0,
 				"no wait for what the protocol has not")
 			n, err := Start(p, slog.New(slog.DiscardHandler))
 			require.NoError(t, err)
-			t.Cleanup(n.Kill)
+			t.Cleanup(n.Close)
 			r := &rig{T: t, node: n, place: at}
 			r.until(func() bool { got, _ := r.ask("GET", "quote", ""); return got.status == 200 })
 		})
@@ -555,15 +555,15 @@
 		"limits":                           func(b map[string]any) { b["limits"].(map[string]any)["sockets"] = 300 },
 		"settings.Permissions.ConnIdleUs":  func(b map[string]any) { settings(b, "Permissions")["ConnIdleUs"] = 9000000 },
 	} {
-		b := brief(next.address(), next.address())
+		b := config(next.address(), next.address())
 		change(b)
-		require.ErrorContains(t, r.node.Settle(post(t, b)), where)
+		require.ErrorContains(t, r.node.Reload(setup(t, b)), where)
 	}
 	require.Equal(t, r.place.address(), r.node.watch.Address())
 	require.Zero(t, next.asked.Load())
-	b := brief(r.place.address(), r.place.address()) // what may change does
+	b := config(r.place.address(), r.place.address()) // what may change does
 	settings(b, "Obligations")["DrainGraceUs"], class(b, 0)["AimUs"] = 500000, 200000
-	require.NoError(t, r.node.Settle(post(t, b)))
+	require.NoError(t, r.node.Reload(setup(t, b)))
 	got, _ := r.ask("GET", "quote", "")
 	require.Equal(t, 200, got.status)
 }
@@ -575,7 +575,7 @@
 	at := newPlace(t, m.entry())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	b := brief(at.address(), at.address())
+	b := config(at.address(), at.address())
 	b["listen"] = l.Addr().String()
 	_ = l.Close()
 	file := filepath.Join(t.TempDir(), "config.json")
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// brief is a configuration for a router with these services.
-func brief(list, desk string) map[string]any {
+// config is a configuration for a router with these services.
+func config(list, desk string) map[string]any {
 	kind := func(name, repeat string, deadline int) map[string]any {
 		return map[string]any{"Name": name, "Semantics": repeat, "AimUs": 300000, "DeadlineUs": deadline, "Importance": 1,
 			"LateValue": 0, "DedupScope": "all", "WindowUs": 5000000}
@@ -168,7 +168,7 @@
 				"CallTimeoutUs": 500000, "ExposureWindowUs": 1000000, "VoteStandsUs": 5000000, "VoteAllowance": 5}}}
 }
 
-func post(t *testing.T, b map[string]any) *Post {
+func setup(t *testing.T, b map[string]any) *Setup {
 	p, err := parse([]byte(encode(t, b)))
 	require.NoError(t, err)
 	return p
@@ -177,9 +177,9 @@
 // rig is one router on a platform of stand-ins.
 type rig struct {
 	*testing.T
-	node  *Node
-	place *place
-	brief map[string]any
+	node   *Node
+	place  *place
+	config map[string]any
 }
 
 func start(t *testing.T, machines ...*machine) *rig {
@@ -188,13 +188,13 @@
 		members = append(members, m.entry())
 	}
 	r := &rig{T: t, place: newPlace(t, members...)}
-	r.brief = brief(r.place.address(), r.place.address())
+	r.config = config(r.place.address(), r.place.address())
 	var err error
-	r.node, err = Start(post(t, r.brief), slog.New(slog.DiscardHandler))
+	r.node, err = Start(setup(t, r.config), slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		if r.node != nil {
-			r.node.Kill()
+			r.node.Close()
 		}
 	})
 	require.Eventually(t, func() bool { return r.place.asked.Load() == 2 }, 10*time.Second, time.Millisecond)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -23,7 +23,7 @@
 		case <-reload:
 			next, err := Read(file)
 			if err == nil {
-				err = n.Settle(next)
+				err = n.Reload(next)
 			}
 			if err != nil {
 				log.Error("the configuration is not changed", "file", file, "error", err)
@@ -46,7 +46,7 @@
 				}
 			}()
 			defer close(ended)
-			return n.Retire(cut), nil
+			return n.Shutdown(cut), nil
 		}
 	}
 }
