Audit: times of requests, responses and attempts are those of the kernel

Cause of the larger part: the audit took the time at which a client or a backend came to read, and both run in the process that starves; findings with both times show clients that read an answer up to 714 ms, backends that read an attempt up to 460 ms after their kernel had it. A second fault of the clients: they sent attempts with a negative patience when they woke up too late for a retry (-70 to -619 ms seen), which no router can answer in time.

Change: sockets of clients and backends ask the kernel when it received (SO_TIMESTAMPNS) and sent (TCP_INFO, rounded to the router's disadvantage by two ticks); findings name these times and the reader's delay. No bound changed. A client without a millisecond left sends nothing and counts as timed out.

--- a/internal/audit/evaluation.go
+++ b/internal/audit/evaluation.go
@@ -51,6 +51,7 @@
 	incarnation int           // of the router's process that it was sent to
 	routerDown  bool          // there was no such process just then
 	endedAt     time.Duration // when the client had its response, lost it or left; 0 for not yet
+	endNoticed  time.Duration // how much later the client noticed
 	ending      eventKind
 	arrivals    []*event
 	rejectedBy  map[*Host]bool
@@ -179,7 +180,7 @@
 	switch {
 	case q == nil:
 	case q.endedAt == 0:
-		q.endedAt, q.ending = e.at, e.kind
+		q.endedAt, q.endNoticed, q.ending = e.at, e.noticed, e.kind
 		ev.judgeRejection(q, e)
 	case e.kind == responseReceived:
 		ev.report(RuleAnswer, q.endedAt, e.at, "task %s had a second answer", e.requestID)
--- a/internal/audit/event.go
+++ b/internal/audit/event.go
@@ -27,6 +27,7 @@
 // event is one observation. Which fields count depends on its kind.
 type event struct {
 	at          time.Duration
+	noticed     time.Duration // how much later than at the observer itself noticed the event
 	kind        eventKind
 	requestID   string // of one request of a client
 	operationID string // shared by a request and its retries by the client
--- a/internal/audit/recorder.go
+++ b/internal/audit/recorder.go
@@ -79,15 +79,24 @@
 	r.events = append(r.events, e)
 }
 
-// RequestSent notes that a client is about to send a request. A request and the client's retries of it share the
-// operation's id.
-func (r *Recorder) RequestSent(requestID, operationID, router, class string, timeout time.Duration) {
-	r.add(event{kind: requestSent, requestID: requestID, operationID: operationID, router: router, class: class, timeout: timeout})
+// addAt adds an event that took place at a time and was noticed now.
+func (r *Recorder) addAt(at time.Time, e event) {
+	now := r.Now()
+	e.at = min(now, max(1, r.At(at)))
+	e.noticed = now - e.at
+	r.add(e)
 }
 
-// ResponseReceived notes a complete response at a client. outcome is empty where the router did not accept the request.
-func (r *Recorder) ResponseReceived(requestID, outcome string) {
-	r.add(event{kind: responseReceived, requestID: requestID, outcome: outcome})
+// RequestSent notes that the kernel of a client sent a request at a time. A request and the client's retries of it share
+// the operation's id.
+func (r *Recorder) RequestSent(at time.Time, requestID, operationID, router, class string, timeout time.Duration) {
+	r.addAt(at, event{kind: requestSent, requestID: requestID, operationID: operationID, router: router, class: class, timeout: timeout})
+}
+
+// ResponseReceived notes that the kernel of a client had a complete response at a time. outcome is empty where the router
+// did not accept the request.
+func (r *Recorder) ResponseReceived(at time.Time, requestID, outcome string) {
+	r.addAt(at, event{kind: responseReceived, requestID: requestID, outcome: outcome})
 }
 
 // ConnectFailed notes that no connection to the router could be made.
@@ -105,9 +114,9 @@
 	r.add(event{kind: clientLeft, requestID: requestID})
 }
 
-// AttemptArrived notes an attempt that reached a backend, with its work in seconds.
-func (r *Recorder) AttemptArrived(h *Host, router, requestID, class string, work float64) {
-	r.add(event{kind: attemptArrived, host: h, router: router, requestID: requestID, class: class, work: work})
+// AttemptArrived notes an attempt that reached the kernel of a backend at a time, with its work in seconds.
+func (r *Recorder) AttemptArrived(at time.Time, h *Host, router, requestID, class string, work float64) {
+	r.addAt(at, event{kind: attemptArrived, host: h, router: router, requestID: requestID, class: class, work: work})
 }
 
 // AttemptRejected notes that a backend is about to reject an attempt that it has not begun.
--- a/internal/testbed/backend.go
+++ b/internal/testbed/backend.go
@@ -63,7 +63,8 @@
 
 // Observer is notified of what a backend does; an *audit.Recorder is one. Its methods may be called concurrently.
 type Observer interface {
-	AttemptArrived(h *audit.Host, router, requestID, class string, work float64) // work in seconds
+	// AttemptArrived is called for an attempt that the kernel received at a time; work is in seconds.
+	AttemptArrived(at time.Time, h *audit.Host, router, requestID, class string, work float64)
 	AttemptRejected(h *audit.Host, requestID string)
 	EffectRan(h *audit.Host, requestID string)
 }
@@ -166,8 +167,9 @@
 	id           string // of the attempt
 	router       string
 	class        Class
-	work         float64 // seconds of one core at speed 1
-	arrivedAt    time.Time
+	work         float64       // seconds of one core at speed 1
+	receivedAt   time.Time     // by the kernel
+	arrivedAt    time.Time     // at this backend, which may be kept from running meanwhile
 	startTimeout time.Duration // from its arrival until work on it must begin
 	failsAlways  bool          // fails on every backend
 	key          string        // idempotency key
@@ -175,6 +177,7 @@
 
 func (b *Backend) newRequest(r *http.Request) receivedRequest {
 	request := receivedRequest{
+		receivedAt:  lastReceivedFor(r),
 		arrivedAt:   time.Now(),
 		id:          r.Header.Get(headerRequestID),
 		router:      r.Header.Get(headerRouter),
@@ -194,7 +197,7 @@
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	request := b.newRequest(r)
 	if b.observer != nil {
-		b.observer.AttemptArrived(b.Audited, request.router, request.id, request.class.Name, request.work)
+		b.observer.AttemptArrived(request.receivedAt, b.Audited, request.router, request.id, request.class.Name, request.work)
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // a router that is gone is seen when the response is written
 	decision, workEndsAt := b.admit(request)
--- a/internal/testbed/backend_faults.go
+++ b/internal/testbed/backend_faults.go
@@ -47,10 +47,14 @@
 		if err != nil {
 			return nil, err
 		}
+		tcp, isTCP := conn.(*net.TCPConn)
 		if !l.backend.refusesConnections() {
-			return conn, nil
+			if !isTCP {
+				return conn, nil
+			}
+			return timedOrPlain(tcp), nil
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
+		if isTCP {
 			_ = tcp.SetLinger(0) // fails only on a connection that has ended
 		}
 		closeAndLog("refused connection", conn)
--- a/internal/testbed/client_attempt.go
+++ b/internal/testbed/client_attempt.go
@@ -40,13 +40,13 @@
 	address := c.addressOf(a.target)
 	start := time.Now()
 	conn, err := c.connect(address)
-	c.recorder.RequestSent(a.attemptID(), a.requestID, a.target.Name, a.class.Name, a.timeout)
 	if err != nil {
+		c.requestSent(a, time.Now())
 		c.recorder.ConnectFailed(a.attemptID())
 		return Score{Refused: 1}, connectRetryAfter
 	}
 	_ = conn.SetDeadline(start.Add(a.givesUpAfter())) // fails only if closed, which the exchange sees
-	response, err := conn.exchange(a.request())
+	response, err := c.exchange(a, conn)
 	if err != nil {
 		closeAndLog("connection after an error", conn)
 		if isTimeout(err) {
@@ -56,7 +56,7 @@
 		c.recorder.ConnectionLost(a.attemptID())
 		return Score{Lost: 1}, 0
 	}
-	c.recorder.ResponseReceived(a.attemptID(), response.header.Get(headerOutcome))
+	c.recorder.ResponseReceived(conn.lastReceived(), a.attemptID(), response.header.Get(headerOutcome))
 	c.release(address, conn, response.closes)
 	return c.evaluate(a, response, start)
 }
@@ -95,11 +95,23 @@
 	closes bool // the router closes the connection
 }
 
+func (c *Clients) requestSent(a *clientAttempt, at time.Time) {
+	c.recorder.RequestSent(at, a.attemptID(), a.requestID, a.target.Name, a.class.Name, a.timeout)
+}
+
 // exchange writes a request and reads the complete response, until the connection's deadline.
-func (c *clientConn) exchange(request string) (*clientResponse, error) {
-	if _, err := io.WriteString(c, request); err != nil {
+func (c *Clients) exchange(a *clientAttempt, conn *clientConn) (*clientResponse, error) {
+	request, earliest := a.request(), time.Now()
+	_, err := io.WriteString(conn, request)
+	c.requestSent(a, conn.lastSent(earliest))
+	if err != nil {
 		return nil, err
 	}
+	return conn.readResponse()
+}
+
+// readResponse reads a complete response.
+func (c *clientConn) readResponse() (*clientResponse, error) {
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return nil, err
--- a/internal/testbed/client_conn.go
+++ b/internal/testbed/client_conn.go
@@ -13,9 +13,11 @@
 	connectRetryAfter = 200 * time.Millisecond
 )
 
+var errNotTCP = errors.New("a TCP connection expected")
+
 // clientConn is a client's connection to a router.
 type clientConn struct {
-	net.Conn
+	*timedConn
 	reader *bufio.Reader
 }
 
@@ -53,7 +55,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{conn, bufio.NewReader(conn)}, nil
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, errors.Join(errNotTCP, conn.Close())
+	}
+	timed, err := newTimedConn(tcp)
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return &clientConn{timed, bufio.NewReader(timed)}, nil
 }
 
 // takeIdle removes the most recently used idle connection to an address; nil if there is none.
--- a/internal/testbed/clients.go
+++ b/internal/testbed/clients.go
@@ -13,7 +13,10 @@
 	"dapplefront/policy"
 )
 
-const complaintTimeout = 5 * time.Second
+const (
+	complaintTimeout = 5 * time.Second
+	minPatience      = time.Millisecond // the least that a client can say
+)
 
 // RequestClass is a class of requests as clients send it.
 type RequestClass struct {
@@ -170,10 +173,15 @@
 	var outcome Score
 	for number := 0; ; number++ {
 		behavior := c.currentBehavior()
+		left := timeout - time.Since(start)
+		if left < minPatience { // it was kept from running for too long
+			if number == 0 {
+				outcome = Score{TimedOut: 1}
+			}
+			break
+		}
 		var retryAfter time.Duration
-		outcome, retryAfter = c.attempt(&clientAttempt{
-			clientRequest: request, number: number, timeout: timeout - time.Since(start), behavior: behavior,
-		})
+		outcome, retryAfter = c.attempt(&clientAttempt{clientRequest: request, number: number, timeout: left, behavior: behavior})
 		delay := behavior.RetryDelay
 		if behavior.HonorsRetryAfter {
 			delay = max(retryAfter, delay)
--- a/internal/testbed/http_server.go
+++ b/internal/testbed/http_server.go
@@ -1,12 +1,14 @@
 package testbed
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log"
 	"log/slog"
 	"net"
 	"net/http"
+	"time"
 )
 
 // anyLoopbackPort lets the system choose a port.
@@ -21,7 +23,7 @@
 // startHTTPServer serves a listener until stop or Shutdown, which close it.
 func startHTTPServer(l net.Listener, handler http.Handler) *httpServer {
 	s := &httpServer{
-		Server: &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)},
+		Server: &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0), ConnContext: withTimedConn},
 		served: make(chan struct{}),
 	}
 	go func() {
@@ -33,6 +35,24 @@
 	return s
 }
 
+// timedConnKey is the context key of a request's connection, where it is timed.
+type timedConnKey struct{}
+
+func withTimedConn(ctx context.Context, conn net.Conn) context.Context {
+	if timed, ok := conn.(*timedConn); ok {
+		return context.WithValue(ctx, timedConnKey{}, timed)
+	}
+	return ctx
+}
+
+// lastReceivedFor is when the kernel received the last that was read of a request; now where its connection is not timed.
+func lastReceivedFor(r *http.Request) time.Time {
+	if timed, ok := r.Context().Value(timedConnKey{}).(*timedConn); ok {
+		return timed.lastReceived()
+	}
+	return time.Now()
+}
+
 // stop closes the listener and all connections.
 func (s *httpServer) stop() {
 	closeAndLog("server", s)
--- a/internal/testbed/observer.go
+++ b/internal/testbed/observer.go
@@ -92,9 +92,9 @@
 }
 
 // AttemptArrived reports an attempt that reached this process; the host is known to the server.
-func (o *remoteObserver) AttemptArrived(_ *audit.Host, router, requestID, class string, work float64) {
+func (o *remoteObserver) AttemptArrived(at time.Time, _ *audit.Host, router, requestID, class string, work float64) {
 	o.send(message{RemoteEvent: audit.RemoteEvent{
-		Kind: "arrived", At: time.Now(), Router: router, RequestID: requestID, Class: class, Work: work,
+		Kind: "arrived", At: at, Router: router, RequestID: requestID, Class: class, Work: work,
 	}})
 }
 
