Loop: due timers first, and its lag is taken off each request's time

Change: the loop calls due timers before each piece of work; Defer runs work right after the piece that asked for it; policy.TimeoutWithLag takes the loop's recent lag off a request's time. Histograms of the loop's delays are logged when a router closes and printed by scenario; responses after the deadline are counted. Scenarios reserve their routers' ports while these are down. Decisions and the simulator are untouched (its adapter has no loop).

Failed before, each with its mend taken out: TestLoop_CallsDueTimerBeforeQueuedWork (first, second, timer), TestPool_SendsOnIdleConnectionBeforeQueuedWork (the attempt waits), TestProxy_RespondsInTimeWhileItsLoopIsHeldUp (287 ms over the patience, 150 allowed).

--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -21,6 +21,7 @@
 	IdempotencyKey string
 	Key            string
 	Timeout        policy.Time // from the moment the server hands it in
+	Deadline       policy.Time // by when the client expects its response
 	ExpectedWork   policy.Time
 	ClientRetry    bool
 	From           netip.Addr
@@ -91,6 +92,7 @@
 		return nil, err
 	}
 	now := s.loop.Now()
+	r.Deadline = startedAt + r.Timeout
 	if r.Timeout -= now - startedAt; s.deadline != 0 {
 		r.Timeout = min(r.Timeout, s.deadline-now)
 	}
--- a/internal/eventloop/clock.go
+++ b/internal/eventloop/clock.go
@@ -20,7 +20,10 @@
 	return clock{start: now, startAt: policy.Time(now.UnixMicro() / tick.Microseconds())}
 }
 
-func (c *clock) now() policy.Time { return c.startAt + policy.Time(time.Since(c.start)/tick) }
+func (c *clock) now() policy.Time { return c.startAt + policy.Time(c.elapsed()/tick) }
+
+// elapsed is the time since the clock was made.
+func (c *clock) elapsed() time.Duration { return time.Since(c.start) }
 
 // FromDuration converts a duration to policy.Time, rounded towards zero.
 func FromDuration(d time.Duration) policy.Time { return policy.Time(d / tick) }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -22,14 +22,24 @@
 	clock clock
 
 	mu      sync.Mutex
-	queue   []func()
+	queue   []queuedWork
 	running bool // a goroutine is running work
 	closed  atomic.Bool
 	done    chan struct{} // closed once the loop is closed
 
-	timers   timerHeap // belongs to the loop's work
+	// These belong to the loop's work.
+	timers   timerHeap
 	wakeup   *time.Timer
-	wakeupAt time.Time // when wakeup fires; zero while it is not set
+	wakeupAt time.Duration // of the loop's clock, when wakeup fires; 0 while it is not set
+	deferred []func()
+	stats    Stats
+	lag      lagPeak
+}
+
+// queuedWork is a piece of work that waits.
+type queuedWork struct {
+	run      func()
+	postedAt time.Duration // of the loop's clock
 }
 
 // New starts a loop.
@@ -43,27 +53,24 @@
 
 // Post queues work. After Close it does nothing.
 func (l *Loop) Post(work func()) {
+	posted := queuedWork{work, l.clock.elapsed()}
 	l.mu.Lock()
 	if l.closed.Load() {
 		l.mu.Unlock()
 		return
 	}
-	l.queue = append(l.queue, work)
+	l.queue = append(l.queue, posted)
 	if l.running {
 		l.mu.Unlock()
 		return
 	}
 	l.running = true
-	var spare []func() // the previous batch's memory
+	var spare []queuedWork // the previous batch's memory
 	for len(l.queue) > 0 && !l.closed.Load() {
 		batch := l.queue
 		l.queue = spare[:0]
 		l.mu.Unlock()
-		for i, work := range batch {
-			if batch[i] = nil; !l.closed.Load() {
-				work()
-			}
-		}
+		l.runBatch(batch)
 		spare = batch
 		l.mu.Lock()
 	}
@@ -71,6 +78,46 @@
 	l.mu.Unlock()
 }
 
+// runBatch runs pieces of work in order until the loop is closed. Timers that are due go before each piece, as their
+// delay would come on top of that of all the work that was queued first.
+func (l *Loop) runBatch(batch []queuedWork) {
+	now := l.clock.elapsed()
+	for i := range batch {
+		work := batch[i]
+		batch[i] = queuedWork{}
+		now = l.callDueTimers(now)
+		if l.closed.Load() {
+			return
+		}
+		now = l.measure(work.run, &l.stats.QueueDelay, work.postedAt, now)
+	}
+}
+
+// measure runs a piece of work that was due at a time, and returns the time after it.
+func (l *Loop) measure(work func(), delays *Histogram, dueAt, now time.Duration) (end time.Duration) {
+	delays.Add(now - dueAt)
+	work()
+	for len(l.deferred) > 0 && !l.closed.Load() {
+		next := l.deferred[0]
+		l.deferred = l.deferred[1:]
+		next()
+	}
+	end = l.clock.elapsed()
+	l.stats.RunTime.Add(end - now)
+	l.lag.add(end, end-dueAt)
+	return end
+}
+
+// Defer has work run once the present piece of work has returned, before any other. It must be called from the loop's work.
+func (l *Loop) Defer(work func()) { l.deferred = append(l.deferred, work) }
+
+// Stats is how late and how long the work was so far. It must be called from the loop's work.
+func (l *Loop) Stats() Stats { return l.stats }
+
+// Lag is the longest that a piece of work or a timer recently took from when it was due to its end; the longer ago, the
+// less it counts. What falls due now may be that late. It must be called from the loop's work.
+func (l *Loop) Lag() policy.Time { return FromDuration(l.lag.at(l.clock.elapsed())) }
+
 // Waiting is how many pieces of work are queued, beside the batch that runs.
 func (l *Loop) Waiting() int {
 	l.mu.Lock()
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -80,3 +80,74 @@
 	require.Equal(t, policy.Second, FromDuration(time.Second))
 	require.Equal(t, 1500*time.Millisecond, Duration(15_000))
 }
+
+// Guards against responses that come late because a timer waits behind all work that was queued before it was due.
+func TestLoop_CallsDueTimerBeforeQueuedWork(t *testing.T) {
+	l := New()
+	defer l.Close()
+	var order []string
+	l.Do(func() {
+		for _, name := range []string{"first", "second"} {
+			l.Post(func() { order = append(order, name) })
+		}
+		l.After(policy.Second/1000, func() { order = append(order, "timer") })
+		time.Sleep(5 * time.Millisecond)
+	})
+	l.Do(func() {}) // all that was queued has run
+	require.Equal(t, []string{"timer", "first", "second"}, order)
+}
+
+// Guards against requests that wait once more behind all queued work between a decision and its effect.
+func TestLoop_RunsDeferredWorkBeforeQueuedWork(t *testing.T) {
+	l := New()
+	defer l.Close()
+	var order []string
+	l.Do(func() {
+		l.Post(func() { order = append(order, "queued") })
+		l.Defer(func() {
+			l.Defer(func() { order = append(order, "deferred by deferred work") })
+			order = append(order, "deferred")
+		})
+		order = append(order, "running")
+	})
+	l.Do(func() {}) // all that was queued has run
+	require.Equal(t, []string{"running", "deferred", "deferred by deferred work", "queued"}, order)
+}
+
+func TestLoop_MeasuresLagAndForgetsIt(t *testing.T) {
+	l := New()
+	defer l.Close()
+	const delay = 40 * time.Millisecond
+	l.Do(func() {
+		l.Post(func() {})
+		time.Sleep(delay)
+	})
+	var lag policy.Time
+	var stats Stats
+	l.Do(func() { lag, stats = l.Lag(), l.Stats() })
+	require.GreaterOrEqual(t, lag, FromDuration(delay/2), "the queued piece was late")
+	require.GreaterOrEqual(t, stats.QueueDelay.Longest, delay)
+	require.GreaterOrEqual(t, stats.RunTime.Longest, delay)
+	require.Eventually(t, func() bool {
+		lag := FromDuration(delay)
+		l.Do(func() { lag = l.Lag() })
+		return lag < FromDuration(delay/4)
+	}, 10*time.Second, time.Millisecond)
+}
+
+func TestHistogram_BoundsQuantiles(t *testing.T) {
+	var h, other Histogram
+	require.Zero(t, h.Quantile(0.5))
+	for range 90 {
+		h.Add(100 * time.Microsecond)
+	}
+	for range 10 {
+		other.Add(30 * time.Millisecond)
+	}
+	other.Add(-time.Second)
+	h.Merge(&other)
+	require.EqualValues(t, 101, h.Count())
+	require.Equal(t, 30*time.Millisecond, h.Longest)
+	require.Equal(t, 128*time.Microsecond, h.Quantile(0.5))
+	require.Equal(t, 30*time.Millisecond, h.Quantile(0.99), "not more than the longest")
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -53,6 +53,7 @@
 	if result.Outcome == policy.Succeeded && r.responseDue {
 		r.responseDue = false
 		p.counts.Succeeded++
+		p.countLate(r.downstream)
 		r.host = host
 		p.countOutcome(reportedSucceeded, r)
 		if p.faults == nil || !p.faults.Silent(r.id) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -86,6 +86,7 @@
 	ClientsGone    uint64 `json:"Left"`
 	Attempts       uint64 `json:"Sends"`
 	ShadowAttempts uint64 `json:"Copies"`
+	Late           uint64 `json:"Late"` // responses of any outcome after their request's deadline, by the router's clock
 }
 
 // Start starts a router that reaches discovery and the controllers by this project's own protocols; it listens when
@@ -196,6 +197,15 @@
 	return c
 }
 
+// LoopStats is how late and how long the work of the router's event loop was so far. It may be called while the router
+// runs, and after Close has returned.
+func (p *Proxy) LoopStats() (s eventloop.Stats) {
+	if !p.loop.Do(func() { s = p.loop.Stats() }) {
+		s = p.loop.Stats()
+	}
+	return s
+}
+
 // InFlight returns how many requests wait for a response, how many client and upstream connections are open, and how
 // many bytes of bodies are held.
 func (p *Proxy) InFlight() (requests, clients, upstreams int, bytes int64) {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -5,6 +5,7 @@
 
 	"dapplefront/internal/downstream"
 	"dapplefront/internal/upstream"
+	"dapplefront/policy"
 	"dapplefront/router"
 )
 
@@ -26,12 +27,15 @@
 	host        uint32 // that responded, or else that the last attempt went to
 }
 
-// requestArrived admits a request, or rejects it where too many are open or its time is up.
+// requestArrived admits a request, or rejects it where too many are open or its time is up. What the event loop does
+// late at present is taken off its time.
 func (p *Proxy) requestArrived(d *downstream.Request) {
 	limits := &p.config.Router.Limits
+	d.Timeout = policy.TimeoutWithLag(d.Timeout, p.loop.Lag())
 	if limits.MaxRequestsInFlight > 0 && len(p.requests) >= limits.MaxRequestsInFlight || d.Timeout <= 0 {
 		d.Message.Drop()
 		p.counts.Rejected++
+		p.countLate(d)
 		d.Reject(limits.MaxRetryAfter/4, "this router holds as many tasks as it may")
 		return
 	}
@@ -52,9 +56,17 @@
 	p.forget(r)
 }
 
+// countLate counts the response to a request that is answered now, if that is too late.
+func (p *Proxy) countLate(d *downstream.Request) {
+	if p.loop.Now() > d.Deadline {
+		p.counts.Late++
+	}
+}
+
 // respondFinal gives the final response to a request that no host has responded to.
 func (p *Proxy) respondFinal(r *request, a router.Action) {
 	r.responseDue = false
+	p.countLate(r.downstream)
 	if a.Kind == router.Reject {
 		p.counts.Rejected++
 		p.countOutcome(reportedRejected, r)
--- a/internal/proxy/request_test.go
+++ b/internal/proxy/request_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -183,3 +184,46 @@
 	require.True(t, gone, "responses that no one reads are not piled up")
 	r.waitIdle()
 }
+
+// Guards against late responses of a router whose loop is held up again and again, as on a machine that has too much to
+// do: the router can tell how late it is and gives up the earlier.
+func TestProxy_RespondsInTimeWhileItsLoopIsHeldUp(t *testing.T) {
+	const (
+		heldUpFor = 300 * time.Millisecond
+		patience  = 900 * time.Millisecond
+		slack     = 150 * time.Millisecond // that the protocol allows a response after its client's patience
+		requests  = 24
+	)
+	r := newTestbench(t, startHost(t, 1, 1, func(exchange) bool { time.Sleep(2 * time.Second); return false }))
+	stop, stopped := make(chan bool), make(chan bool)
+	go func() {
+		defer close(stopped)
+		for {
+			r.router.loop.Do(func() { time.Sleep(heldUpFor) })
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	defer func() { close(stop); <-stopped }()
+	time.Sleep(2 * heldUpFor) // the first time is not foreseen
+	var wait sync.WaitGroup
+	late := make(chan time.Duration, requests)
+	for range requests {
+		c := r.dial()
+		wait.Go(func() {
+			sent := time.Now()
+			c.post("/quote", fmt.Sprintf("Dapplefront-Patience: %dms\r\n", patience.Milliseconds()))
+			c.response()
+			late <- time.Since(sent) - patience
+		})
+		time.Sleep(heldUpFor / 7)
+	}
+	wait.Wait()
+	close(late)
+	for over := range late {
+		require.LessOrEqual(t, over, slack)
+	}
+}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -9,6 +9,9 @@
 // drainPollInterval is how often Drain looks whether all requests have been responded to.
 const drainPollInterval = 10 * time.Millisecond
 
+// logQuantile is the share of the event loop's delays that the logged one bounds.
+const logQuantile = 0.99
+
 // StartDraining is the first step of a graceful shutdown: the router goes on serving, but reports that it is not ready, each
 // response closes its connection, and requests that come from now on are responded to within the time given.
 func (p *Proxy) StartDraining(within time.Duration) {
@@ -37,8 +40,11 @@
 	}
 	c := p.Counts()
 	p.Close()
+	stats := p.LoopStats()
 	p.log.Info("closed", "cut_off", left, "received", c.Received, "succeeded", c.Succeeded, "rejected", c.Rejected,
-		"failed", c.Failed, "clients_gone", c.ClientsGone)
+		"failed", c.Failed, "clients_gone", c.ClientsGone, "late", c.Late, "queue_delay_p99", stats.QueueDelay.Quantile(logQuantile),
+		"queue_delay_max", stats.QueueDelay.Longest, "timer_delay_p99", stats.TimerDelay.Quantile(logQuantile),
+		"timer_delay_max", stats.TimerDelay.Longest, "work_p99", stats.RunTime.Quantile(logQuantile), "work_max", stats.RunTime.Longest)
 	return left
 }
 
--- a/internal/scenario/report.go
+++ b/internal/scenario/report.go
@@ -11,6 +11,7 @@
 
 	"dapplefront/agent"
 	"dapplefront/internal/audit"
+	"dapplefront/internal/eventloop"
 	"dapplefront/internal/testbed"
 )
 
@@ -27,6 +28,7 @@
 		r.Agents.print(&b)
 	}
 	r.printTotals(&b)
+	r.printLoops(&b)
 	r.printVerdicts(&b)
 	_, err := io.WriteString(w, b.String())
 	return err
@@ -111,6 +113,31 @@
 	}
 }
 
+// printLoops writes how late and how long the work of the routers' event loops was.
+func (r *Result) printLoops(b *strings.Builder) {
+	fmt.Fprintf(b, "\n%-20s %9s %9s %9s %9s %9s\n", "routers' loops", "counted", "p50", "p90", "p99", "longest")
+	for _, row := range []struct {
+		name      string
+		histogram *eventloop.Histogram
+	}{
+		{"work waited", &r.LoopStats.QueueDelay},
+		{"timers were late", &r.LoopStats.TimerDelay},
+		{"pieces of work took", &r.LoopStats.RunTime},
+	} {
+		h := row.histogram
+		fmt.Fprintf(b, "%-20s %9d %9s %9s %9s %9s\n", row.name, h.Count(), printed(h.Quantile(.5)), printed(h.Quantile(.9)),
+			printed(h.Quantile(.99)), printed(h.Longest))
+	}
+}
+
+// printed is a duration rounded for people.
+func printed(d time.Duration) string {
+	if d < time.Millisecond {
+		return d.Round(time.Microsecond).String()
+	}
+	return d.Round(time.Millisecond).String()
+}
+
 func (r *Result) printVerdicts(b *strings.Builder) {
 	fmt.Fprintf(b, "\n%-10s %9s  %s\n", "rule", "checked", "verdict")
 	for _, v := range r.Verdicts {
--- a/internal/scenario/result.go
+++ b/internal/scenario/result.go
@@ -7,6 +7,7 @@
 
 	"dapplefront/internal/api"
 	"dapplefront/internal/audit"
+	"dapplefront/internal/eventloop"
 	"dapplefront/internal/proxy"
 	"dapplefront/internal/testbed"
 	"dapplefront/policy"
@@ -20,6 +21,7 @@
 	Latencies          map[string][]time.Duration // by class, of the requests that succeeded
 	Transitions        []Transition
 	Counts             map[string]proxy.Counts // by router, since its last start
+	LoopStats          eventloop.Stats         // of all routers' event loops
 	Elapsed            time.Duration
 	Agents             *AgentStatistics // nil without agents
 	Stages             []StageScore
--- a/internal/scenario/routers.go
+++ b/internal/scenario/routers.go
@@ -3,27 +3,49 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
 	"time"
 
+	"dapplefront/internal/eventloop"
 	"dapplefront/internal/proxy"
 	"dapplefront/internal/routerconfig"
 	"dapplefront/internal/testbed"
 	"dapplefront/policy"
 )
 
-// routerInstance is one router of the scenario. Its name, configuration file and address outlive restarts.
+// routerInstance is one router of the scenario. Its name, configuration file and port outlive restarts.
 type routerInstance struct {
 	name       string
 	configFile string
-	address    string
+	port       *reservedPort
 
-	mu    sync.Mutex
-	proxy *proxy.Proxy // nil while it is down
+	mu        sync.Mutex
+	proxy     *proxy.Proxy    // nil while it is down
+	loopStats eventloop.Stats // of the proxies that were stopped
+}
+
+// stop ends a proxy that was detached from the instance, at once.
+func (i *routerInstance) stop(p *proxy.Proxy) {
+	p.Close()
+	stats := p.LoopStats()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.loopStats.Merge(&stats)
+}
+
+// allLoopStats is how late and how long the event loops' work was, of all of the router's proxies.
+func (i *routerInstance) allLoopStats() eventloop.Stats {
+	var stats eventloop.Stats
+	if p := i.running(); p != nil {
+		stats = p.LoopStats()
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	stats.Merge(&i.loopStats)
+	return stats
 }
 
 // running is the router's proxy; nil while it is down.
@@ -54,28 +76,28 @@
 		if err := r.startRouter(router); err != nil {
 			return nil, err
 		}
-		targets = append(targets, testbed.Target{Name: router.name, Address: router.address, Rate: r.spec.RequestRate})
+		targets = append(targets, testbed.Target{Name: router.name, Address: router.port.address, Rate: r.spec.RequestRate})
 	}
 	return targets, nil
 }
 
 // newRouter chooses a router's address and writes its configuration file, as an operator would.
 func (r *run) newRouter(index int) (*routerInstance, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") // a free port, which restarts keep
+	port, err := reservePort()
 	if err != nil {
 		return nil, err
 	}
-	address := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		return nil, fmt.Errorf("free the port of %s: %w", address, err)
-	}
-	router := &routerInstance{name: fmt.Sprintf("r%d", index+1), address: address}
+	router := &routerInstance{name: fmt.Sprintf("r%d", index+1), port: port}
 	router.configFile = filepath.Join(r.dir, router.name+".ini")
 	config, err := r.routerConfig(index, router)
+	if err == nil {
+		err = os.WriteFile(router.configFile, []byte(config), 0o600)
+	}
 	if err != nil {
+		port.release()
 		return nil, fmt.Errorf("configure router %s: %w", router.name, err)
 	}
-	return router, os.WriteFile(router.configFile, []byte(config), 0o600)
+	return router, nil
 }
 
 // routerConfig is the text of a router's INI file.
@@ -83,7 +105,7 @@
 	p := r.params
 	var b strings.Builder
 	fmt.Fprintf(&b, "[router]\nname = %s\nlisten = %s\nrouters = %d\nrank = %d\nlocation = %s\nseed = %d\nlast-list = %s\n",
-		router.name, router.address, r.spec.Routers, index, p.routerZone(index), r.spec.Seed+uint64(index),
+		router.name, router.port.address, r.spec.Routers, index, p.routerZone(index), r.spec.Seed+uint64(index),
 		filepath.Join(r.dir, router.name+".list"))
 	updates := "changes"
 	if index%2 == 1 {
@@ -147,7 +169,7 @@
 func (r *run) killRouter(router *routerInstance) {
 	if p := router.detach(); p != nil {
 		r.recorder.RouterStopping(router.name)
-		p.Close()
+		router.stop(p)
 	}
 }
 
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -91,6 +91,8 @@
 		if p := router.running(); p != nil {
 			result.Counts[router.name] = p.Counts()
 		}
+		stats := router.allLoopStats()
+		result.LoopStats.Merge(&stats)
 	}
 	r.recorder.Close()
 	if all, crossed := r.recorder.CountCrossZone(zones); all > 0 {
@@ -212,6 +214,7 @@
 		if p := router.detach(); p != nil {
 			p.Close()
 		}
+		router.port.release()
 	}
 	if r.controllers != nil {
 		r.controllers.stopBackground()
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -103,7 +103,7 @@
 }
 
 // endLater ends an attempt from later work of the loop, as done must not be called before Send has returned.
-func (a *Attempt) endLater(r Result) { a.pool.loop.Post(func() { a.end(r) }) }
+func (a *Attempt) endLater(r Result) { a.pool.loop.Defer(func() { a.end(r) }) }
 
 // end reports the result, once. A connection that is still being opened for the attempt is left to the next one.
 func (a *Attempt) end(r Result) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -119,7 +119,7 @@
 	a.timer = p.loop.After(timeout, a.timeout)
 	if c := p.takeIdle(h, now); c != nil {
 		a.conn, c.attempt = c, a
-		p.loop.Post(a.write)
+		p.loop.Defer(a.write)
 		return a
 	}
 	if h.connections >= p.config.MaxConnectionsPerHost {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -212,3 +212,29 @@
 	})
 	require.Empty(t, r.requests)
 }
+
+// Guards against an attempt on an idle connection that waits for all work that was queued before it was made.
+func TestPool_SendsOnIdleConnectionBeforeQueuedWork(t *testing.T) {
+	r := newTestbench(t)
+	got := make(chan string, 2)
+	r.loop.Do(func() { r.send("opens the connection", got, nil) })
+	(<-r.requests).respond("x")
+	<-got
+	arrived := make(chan bool)
+	r.loop.Do(func() {
+		r.pool.hosts[1].idle[0].idleSince = 1 // long ago
+		r.loop.Post(func() {                  // queued work that lasts until the attempt has arrived
+			select {
+			case <-arrived:
+			case <-time.After(2 * time.Second):
+				t.Error("the attempt waits for queued work")
+			}
+		})
+		r.send("x", got, nil)
+	})
+	request := <-r.requests
+	close(arrived)
+	request.respond("x")
+	require.Equal(t, "x", <-got)
+	require.EqualValues(t, 1, r.accepted.Load())
+}
