Controller: a pipeline ends with the first response that is no success

Cause, from the stacks of all 7: the raft library's sender waits in netPipeline.AppendEntries for room in a pipeline whose reader (pipelineDecode) has returned, after a response without success or of a newer term; only the shutdown of the pipeline would wake it, which the sender itself would do once it returns. Heartbeat and shutdown wait for it.

Change: raftTransport hands the library pipelines that close themselves after forwarding such a response. Pipelining stays, so writes cost as before.

TestRaftTransport_EndsPipelineAfterResponseWithoutSuccess failed before (the sender waits for a reader that has stopped).

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -117,7 +117,7 @@
 			return err
 		}
 	}
-	n.raft, err = raft.NewRaft(c, fsm{n}, logs, stable, snapshots, n.transport)
+	n.raft, err = raft.NewRaft(c, fsm{n}, logs, stable, snapshots, raftTransport{n.transport})
 	if err != nil {
 		return errors.Join(err, n.transport.Close())
 	}
--- /dev/null
+++ b/internal/controller/pipeline_test.go
@@ -0,0 +1,73 @@
+package controller
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+	"github.com/stretchr/testify/require"
+)
+
+// newLoopbackTransport is a transport on a port of its own.
+func newLoopbackTransport(t *testing.T) *raft.NetworkTransport {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	transport := raft.NewNetworkTransport(tcpStreamLayer{l}, transportPool, transportTimeout, io.Discard)
+	t.Cleanup(func() { _ = transport.Close() })
+	return transport
+}
+
+// answerAppendEntries answers each request of a follower's transport with success for the first ones, then without.
+func answerAppendEntries(t *testing.T, follower *raft.NetworkTransport, successes int) {
+	t.Helper()
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for n := 0; ; n++ {
+			select {
+			case rpc := <-follower.Consumer():
+				rpc.Respond(&raft.AppendEntriesResponse{Term: 1, Success: n < successes}, nil)
+			case <-stop:
+				return
+			}
+		}
+	}()
+}
+
+// Guards against a leader that can't end: the raft library's sender waits for good in a pipeline that nobody reads.
+func TestRaftTransport_EndsPipelineAfterResponseWithoutSuccess(t *testing.T) {
+	follower := newLoopbackTransport(t)
+	const successes = 3
+	answerAppendEntries(t, follower, successes)
+	pipeline, err := raftTransport{newLoopbackTransport(t)}.AppendEntriesPipeline("follower", follower.LocalAddr())
+	require.NoError(t, err)
+	readerStopped := make(chan int, 1)
+	go func() { // as the library reads: up to the first response without success
+		for n := 0; ; n++ {
+			if response := <-pipeline.Consumer(); !response.Response().Success {
+				readerStopped <- n
+				return
+			}
+		}
+	}()
+	senderStopped := make(chan error, 1)
+	go func() { // as the library sends: until an error
+		for {
+			if _, err := pipeline.AppendEntries(&raft.AppendEntriesRequest{Term: 1}, &raft.AppendEntriesResponse{}); err != nil {
+				senderStopped <- err
+				return
+			}
+		}
+	}()
+	select {
+	case err := <-senderStopped:
+		require.Error(t, err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the sender waits for a reader that has stopped")
+	}
+	require.Equal(t, successes, <-readerStopped, "each response before was read")
+	require.NoError(t, pipeline.Close())
+}
