Controller: the hand-over of leadership is tried again, and Close ends within 10 s

Cause: TransferLeadership asked the library once; a follower that just closed its connection fails the call.

Change: up to five attempts while this instance leads; ErrOnlyInstance for a group of one; the command warns of other errors. Close waits for the raft library for 10 s at the most and says that it still runs.

--- a/cmd/dapplefront/controller.go
+++ b/cmd/dapplefront/controller.go
@@ -44,8 +44,9 @@
 	log.Info("listening", "url", server.URL(), "peers", node.Address())
 	awaitTermination()
 	if leads, _ := node.IsLeader(); leads {
-		if err := node.TransferLeadership(); err != nil { // another instance takes over at once, where there is one
-			log.Debug("no other instance to lead", "error", err)
+		err := node.TransferLeadership() // another instance takes over at once, where there is one
+		if err != nil && !errors.Is(err, controller.ErrOnlyInstance) {
+			log.Warn("leadership not handed over; the others choose a leader", "error", err)
 		}
 	}
 	server.Close()
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -67,8 +68,33 @@
 	return out, nil
 }
 
-// TransferLeadership hands the leadership to another instance, as before a planned end.
-func (n *Node) TransferLeadership() error { return n.raft.LeadershipTransfer().Error() }
+// TransferLeadership hands the leadership to another instance, as before a planned end, and returns nil once this one
+// does not lead any more. A transfer that fails is tried again, as a follower may be behind or may just have closed its
+// connection; the leader goes on leading meanwhile. A group of one returns ErrOnlyInstance.
+func (n *Node) TransferLeadership() error {
+	var err error
+	for range transferAttempts {
+		if n.raft.State() != raft.Leader {
+			return nil
+		}
+		configuration := n.raft.GetConfiguration()
+		if configuration.Error() == nil && len(configuration.Configuration().Servers) == 1 {
+			return ErrOnlyInstance
+		}
+		if err = n.raft.LeadershipTransfer().Error(); err == nil {
+			return nil
+		}
+		select {
+		case <-n.stop:
+			return fmt.Errorf("transfer of leadership: %w", err)
+		case <-time.After(transferRetryDelay):
+		}
+	}
+	if n.raft.State() != raft.Leader {
+		return nil
+	}
+	return fmt.Errorf("transfer of leadership: %d attempts: %w", transferAttempts, err)
+}
 
 // controllerURL is where an instance's REST interface is reached; "" where that is not known.
 func (n *Node) controllerURL(name string) (url string) {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -46,6 +46,11 @@
 	membershipTimeout = 10 * time.Second       // for a change of the group's configuration to get into the queue
 	tickInterval      = 50 * time.Millisecond  // in which the leader looks whether time alone changes something
 	clockUnit         = 100 * time.Microsecond // of policy.Time
+
+	transferAttempts   = 5
+	transferRetryDelay = 100 * time.Millisecond
+
+	shutdownTimeout = 10 * time.Second // for the raft library to end; several of its longest waits
 )
 
 // Errors of changes and of reads from the leader.
@@ -54,6 +59,10 @@
 	ErrNoLeader = errors.New("no leader: the controllers can't reach each other, or are choosing one")
 	// ErrOutcomeUnknown says that a change may have been made or not.
 	ErrOutcomeUnknown = errors.New("the leader was lost while the change was under way; it may have been made")
+	// ErrOnlyInstance says that there is no other instance to lead.
+	ErrOnlyInstance = errors.New("no other instance to lead")
+	// ErrStillRunning says that the raft library has not ended in time; its goroutines and its store are left open.
+	ErrStillRunning = errors.New("the raft library has not ended; its store is left open")
 )
 
 // Node is one running member of the Raft group. It is safe for concurrent use.
@@ -164,12 +173,25 @@
 // Address is where other controllers reach it.
 func (n *Node) Address() string { return string(n.transport.LocalAddr()) }
 
-// Close ends the instance and waits for it. Its store can be opened again.
+// Close ends the instance and waits for it, for shutdownTimeout at the most. Its store can be opened again, but after
+// ErrStillRunning.
 func (n *Node) Close() error {
 	close(n.stop)
 	n.done.Wait()
-	err := n.raft.Shutdown().Error()
-	return errors.Join(err, n.transport.Close(), n.bolt.Close())
+	ended := make(chan error, 1)
+	go func() { ended <- n.raft.Shutdown().Error() }()
+	return errors.Join(n.awaitEnd(ended, shutdownTimeout)...)
+}
+
+// awaitEnd waits for the raft library's end and closes what it used. While it runs it must not lose its store, as it ends
+// the process where it can't write.
+func (n *Node) awaitEnd(ended <-chan error, timeout time.Duration) []error {
+	select {
+	case err := <-ended:
+		return []error{err, n.transport.Close(), n.bolt.Close()}
+	case <-time.After(timeout):
+		return []error{fmt.Errorf("%w after %v", ErrStillRunning, timeout), n.transport.Close()}
+	}
 }
 
 // Propose makes a change through the log: when it returns without an error, the change is on the disks of a majority and
--- a/internal/controller/pipeline_test.go
+++ b/internal/controller/pipeline_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -71,3 +73,46 @@
 	require.Equal(t, successes, <-readerStopped, "each response before was read")
 	require.NoError(t, pipeline.Close())
 }
+
+// Guards against an instance that waits for the raft library for good when it ends.
+func TestNode_CloseEndsThoughTheLibraryDoesNot(t *testing.T) {
+	n, err := Open(NodeConfig{Name: "c", Dir: t.TempDir(), Listen: "127.0.0.1:0", Bootstrap: true, FastElections: true, Control: testConfig,
+		InitialBuild: 1}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	never := make(chan error)
+	require.ErrorIs(t, errors.Join(n.awaitEnd(never, 10*time.Millisecond)...), ErrStillRunning)
+	require.NoError(t, n.raft.Shutdown().Error())
+	close(n.stop)
+	n.done.Wait()
+	require.NoError(t, n.bolt.Close(), "it was left open")
+}
+
+// Guards against a leader that ends without a successor, because its first try found the follower out of reach.
+func TestCluster_TransferLeadershipTriesAgain(t *testing.T) {
+	w := newNetwork()
+	g := startClusterOn(t, w, nil)
+	at := g.leader()
+	var others []string
+	for i := range g.nodes {
+		if i != at {
+			others = append(others, g.name(i))
+		}
+	}
+	const outage = 60 * time.Millisecond // shorter than a leader's lease
+	w.set(true, []string{g.name(at)}, others)
+	healed := make(chan struct{})
+	time.AfterFunc(outage, func() { w.set(false, []string{g.name(at)}, others); close(healed) })
+	require.NoError(t, g.nodes[at].TransferLeadership())
+	<-healed
+	require.Eventually(t, func() bool { leads, _ := g.nodes[at].IsLeader(); return !leads }, 10*time.Second, time.Millisecond)
+	g.leader()
+}
+
+func TestNode_TransferLeadershipTellsThatThereIsNoOtherInstance(t *testing.T) {
+	n, err := Open(NodeConfig{Name: "c", Dir: t.TempDir(), Listen: "127.0.0.1:0", Bootstrap: true, FastElections: true, Control: testConfig,
+		InitialBuild: 1}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, n.Close()) })
+	require.Eventually(t, func() bool { leads, _ := n.IsLeader(); return leads }, 10*time.Second, time.Millisecond)
+	require.ErrorIs(t, n.TransferLeadership(), ErrOnlyInstance)
+}
