Admission: time in which nothing was in flight is no evidence of slow hosts

Cause: recentWork, span = min(long, age): with fewer than 20 responses the completed work was divided by up to eight seconds, idle time included. Evidence: a pause between the fifth and sixth request rejects none, a pause before the first rejects from 30 ms on; the test's router is 60 to 70 ms old then, and 5 in flight times 80 ms is the limit.

Change: with that few responses the span is the time in which attempts were in flight. With 20 or more nothing changes.

--- a/internal/proxy/request_test.go
+++ b/internal/proxy/request_test.go
@@ -227,3 +227,20 @@
 		require.LessOrEqual(t, over, slack)
 	}
 }
+
+// Guards against requests rejected after a quiet moment, as if the idle hosts had needed all of it for their work.
+func TestProxy_AcceptsBurstAfterQuietMoment(t *testing.T) {
+	r := newTestbench(t, startHost(t, 1, 1, func(x exchange) bool {
+		time.Sleep(20 * time.Millisecond)
+		return respondOK(x)
+	}))
+	time.Sleep(time.Second)
+	c := r.dial()
+	const burst = 6
+	c.write(strings.Repeat("GET /quote HTTP/1.1\r\nHost: r\r\n\r\n", burst))
+	for range burst {
+		_, outcome, _ := c.response()
+		require.Equal(t, "finished", outcome)
+	}
+	r.waitIdle()
+}
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -60,8 +60,39 @@
 	return len(c.responses) - c.windowStart
 }
 
+// busyTime is how long attempts were in flight between an earliest moment and now: the oldest one that still is, and those
+// whose responses are counted.
+func (c *completedWork) busyTime(oldestInFlight, earliest, now Time) Time {
+	covered := max(oldestInFlight, earliest) // from here on the time is counted
+	busy := now - covered
+	for i := len(c.responses.responses) - 1; i >= 0 && covered > earliest; i-- {
+		response := c.responses.responses[i]
+		sentAt := max(response.at-response.latency, earliest)
+		if end := min(response.at, covered); sentAt < end {
+			busy += end - sentAt
+			covered = sentAt
+		}
+	}
+	return busy
+}
+
+// oldestInFlight is when the oldest attempt in flight at a locality's healthy baseline hosts was sent; now for none.
+func (r *Router) oldestInFlight(at locality) Time {
+	oldest := r.now
+	for _, host := range r.hosts {
+		if host.health != healthy || !r.isBaseline(host) || r.localityOf(host) != at {
+			continue
+		}
+		for _, attempt := range host.inFlight {
+			oldest = min(oldest, attempt.sentAt)
+		}
+	}
+	return oldest
+}
+
 // recentWork is the work that a locality completed in the last two seconds, or in up to eight as far as that takes to find
-// enough responses.
+// enough responses. Where even these are too few, the time in which nothing was in flight is left out: it says
+// nothing of how fast hosts are.
 func (r *Router) recentWork(at locality) *completedWork {
 	const short, long = 2 * Second, 8 * Second
 	const enough, enoughForSlowdown = 20, 5
@@ -69,8 +100,7 @@
 	if completed.computedAt == r.now {
 		return completed
 	}
-	age := r.now - r.startedAt
-	completed.computedAt, completed.span, completed.slowdown = r.now, min(short, age), math.Inf(1)
+	completed.computedAt, completed.span, completed.slowdown = r.now, min(short, r.now-r.startedAt), math.Inf(1)
 	n := completed.responses.advance(r.now-short, r.now-long, r.traffic.endedBase)
 	completed.work = float64(completed.responses.usualLatency)
 	if n >= enoughForSlowdown {
@@ -85,7 +115,7 @@
 		n, completed.work, completed.span = n+1, completed.work+float64(response.usualLatency), max(completed.span, since)
 	}
 	if n < enough {
-		completed.span = min(long, age)
+		completed.span = completed.busyTime(r.oldestInFlight(at), max(r.now-long, r.startedAt), r.now)
 	}
 	for _, class := range r.classes {
 		completed.work = max(completed.work, float64(class.usualLatency))
