http1: tokens of values are compared by ASCII alone

What callers could meet: a Transfer-Encoding of chun(Kelvin sign)ed was taken for chunked, a Connection of clo(long s)e for close. Another program on the way sees no chunks there and so another end of the request: a way to smuggle one.

Cause: strings.EqualFold folds beyond ASCII; names were held to the same length, which rules that out, values were not. Change: one comparison, sameToken, for names and values.

TestReader_ComparesTokensByASCIIAlone failed before (no error). Looked for elsewhere: downstream and proxy compare names with their lengths; Expect (100-continue) has no letter that folds.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"net/http"
 	"strconv"
-	"strings"
 )
 
 const (
@@ -23,15 +22,15 @@
 func (m *Message) framing() (f framing, err error) {
 	for _, field := range m.Fields {
 		switch {
-		case sameName(field.Name, "host"):
+		case sameToken(field.Name, "host"):
 			f.hosts++
-		case sameName(field.Name, "content-length"):
+		case sameToken(field.Name, "content-length"):
 			if f.lengths++; f.lengths > 1 && field.Value != f.length {
 				return f, newError(http.StatusBadRequest, "two different lengths are told")
 			}
 			f.length = field.Value
-		case sameName(field.Name, "transfer-encoding"):
-			if f.chunked || !strings.EqualFold(field.Value, "chunked") {
+		case sameToken(field.Name, "transfer-encoding"):
+			if f.chunked || !sameToken(field.Value, "chunked") {
 				return f, newError(http.StatusNotImplemented, "the transfer coding %q is not served", field.Value)
 			}
 			f.chunked = true
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -43,7 +43,7 @@
 // Lookup is the value of the first field of that name and whether there is one.
 func (m *Message) Lookup(name string) (string, bool) {
 	for i := range m.Fields {
-		if f := &m.Fields[i]; sameName(f.Name, name) {
+		if f := &m.Fields[i]; sameToken(f.Name, name) {
 			return f.Value, true
 		}
 	}
@@ -54,14 +54,14 @@
 func (m *Message) Closes() bool {
 	keep := m.Minor > 0
 	for _, f := range m.Fields {
-		if !sameName(f.Name, "connection") {
+		if !sameToken(f.Name, "connection") {
 			continue
 		}
 		for option := range strings.SplitSeq(f.Value, ",") {
 			switch option = strings.TrimSpace(option); {
-			case strings.EqualFold(option, "close"):
+			case sameToken(option, "close"):
 				return true
-			case strings.EqualFold(option, "keep-alive"):
+			case sameToken(option, "keep-alive"):
 				keep = true
 			}
 		}
@@ -106,7 +106,7 @@
 func (m *Message) AppendFields(to []byte, skip func(name string) bool) []byte {
 	connectionOptions := ""
 	for _, f := range m.Fields {
-		if sameName(f.Name, "connection") {
+		if sameToken(f.Name, "connection") {
 			connectionOptions += "," + f.Value
 		}
 	}
@@ -122,15 +122,16 @@
 // inList reports whether a name stands in a list that is separated by commas.
 func inList(list, name string) bool {
 	for item := range strings.SplitSeq(list, ",") {
-		if strings.EqualFold(strings.TrimSpace(item), name) {
+		if sameToken(strings.TrimSpace(item), name) {
 			return true
 		}
 	}
 	return false
 }
 
-// sameName reports whether two field names are the same, in any case.
-func sameName(a, b string) bool { return len(a) == len(b) && strings.EqualFold(a, b) }
+// sameToken reports whether two tokens, such as field names, are the same in any case. EqualFold alone takes letters beyond
+// ASCII for some within it, which other programs on the way don't.
+func sameToken(a, b string) bool { return len(a) == len(b) && strings.EqualFold(a, b) }
 
 // AppendField appends one header line.
 func AppendField(to []byte, name, value string) []byte {
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -160,3 +160,18 @@
 		}
 	})
 }
+
+// Guards against request smuggling by letters beyond ASCII that fold to ASCII ones: another program on the way would see
+// another end of the request.
+func TestReader_ComparesTokensByASCIIAlone(t *testing.T) {
+	const kelvin, longS = "\u212a", "\u017f" // fold to k and s
+	r := NewReader(testLimits, NewBudget(1<<10), false)
+	_, _, err := r.Read([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chun" + kelvin + "ed\r\n\r\n0\r\n\r\n"))
+	var refusal *Error
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, 501, refusal.Status)
+	m := &Message{Minor: 1, Fields: []Field{{Name: "Connection", Value: "clo" + longS + "e"}}}
+	require.False(t, m.Closes())
+	m = &Message{Minor: 0, Fields: []Field{{Name: "Connection", Value: kelvin + "eep-alive"}}}
+	require.True(t, m.Closes())
+}
