upstream: a connection that spoke before it was known to be open is closed

What operators saw: nothing, which is the fault: a host that sends bytes at once keeps a connection of the router's open that no limit counts.

Cause: bytes that can't be used mark the connection closed while conn is nil, and opened ended the attempt without closing. The change is one line in opened. TestPool_ClosesConnectionThatSpokeBeforeItWasKnownToBeOpen failed before (i/o timeout after 5 s in place of EOF), 20 of 20 after.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -48,7 +48,8 @@
 		return
 	}
 	c.conn = conn
-	if c.state == connClosed { // its end was reported before its opening
+	if c.state == connClosed { // its end, or bytes that can't be used, were reported before its opening
+		conn.Close()
 		c.endAttempt(Result{Outcome: policy.ConnectFailed, Reason: "closed as soon as opened"})
 		return
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -217,10 +218,15 @@
 func TestPool_SendsOnIdleConnectionBeforeQueuedWork(t *testing.T) {
 	r := newTestbench(t)
 	got := make(chan string, 2)
-	r.loop.Do(func() { r.send("opens the connection", got, nil) })
+	r.loop.Do(func() { r.send("first", got, nil) })
 	(<-r.requests).respond("x")
 	<-got
 	arrived := make(chan bool)
+	go func() { // the test's own goroutine runs the loop's work
+		request := <-r.requests
+		close(arrived)
+		request.respond("x")
+	}()
 	r.loop.Do(func() {
 		r.pool.hosts[1].idle[0].idleSince = 1 // long ago
 		r.loop.Post(func() {                  // queued work that lasts until the attempt has arrived
@@ -232,9 +238,44 @@
 		})
 		r.send("x", got, nil)
 	})
-	request := <-r.requests
-	close(arrived)
-	request.respond("x")
 	require.Equal(t, "x", <-got)
 	require.EqualValues(t, 1, r.accepted.Load())
 }
+
+// Guards against connections that stay open without being counted: bytes of the host come before the loop learns that the
+// connection is open.
+func TestPool_ClosesConnectionThatSpokeBeforeItWasKnownToBeOpen(t *testing.T) {
+	r := newTestbench(t)
+	host, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = host.Close() }()
+	closed := make(chan error, 1)
+	go func() {
+		c, err := host.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Write([]byte("nonsense\r\n\r\n"))
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = c.Read(make([]byte, 1))
+		closed <- err
+	}()
+	r.loop.Do(func() {
+		r.pool.SetAddress(2, host.Addr().String())
+		h := r.pool.hosts[2]
+		c := &upstreamConn{pool: r.pool, host: h, address: h.address, reader: http1.NewReader(r.pool.config.Limits, r.pool.budget, true)}
+		h.connections++
+		r.pool.connections++
+		r.pool.engine.Dial(h.address, time.Second, c, func(conn *transport.Conn, err error) {
+			require.Eventually(t, func() bool {
+				state := connConnecting
+				r.loop.Do(func() { state = c.state })
+				return state == connClosed
+			}, 5*time.Second, time.Millisecond, "the nonsense is read first")
+			r.loop.Post(func() { c.opened(conn, err) })
+		})
+	})
+	require.ErrorIs(t, <-closed, io.EOF)
+	r.loop.Do(func() { require.Zero(t, r.pool.Connections()) })
+}
