Admission: idle time is left out only where a router sees all traffic

So it is: for one of 300 routers the time in which it has nothing in flight is no idle time of the hosts, which work for the others; leaving it out lets too much in.

Change: up to routersThatSeeAll routers, as expectedSlowdown has it already, the idle time is left out, beyond them nothing differs from.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -2,6 +2,9 @@
 
 import "math"
 
+// routersThatSeeAll is the number of routers up to which each sees enough of the hosts' work at each moment.
+const routersThatSeeAll = 4
+
 // admissionState is the work that each locality completed lately.
 type admissionState struct {
 	completed [2]completedWork
@@ -92,7 +95,7 @@
 
 // recentWork is the work that a locality completed in the last two seconds, or in up to eight as far as that takes to find
 // enough responses. Where even these are too few, the time in which nothing was in flight is left out: it says
-// nothing of how fast hosts are.
+// nothing of how fast hosts are. One of many routers can't leave it out, as hosts work for the others meanwhile.
 func (r *Router) recentWork(at locality) *completedWork {
 	const short, long = 2 * Second, 8 * Second
 	const enough, enoughForSlowdown = 20, 5
@@ -100,7 +103,8 @@
 	if completed.computedAt == r.now {
 		return completed
 	}
-	completed.computedAt, completed.span, completed.slowdown = r.now, min(short, r.now-r.startedAt), math.Inf(1)
+	age := r.now - r.startedAt
+	completed.computedAt, completed.span, completed.slowdown = r.now, min(short, age), math.Inf(1)
 	n := completed.responses.advance(r.now-short, r.now-long, r.traffic.endedBase)
 	completed.work = float64(completed.responses.usualLatency)
 	if n >= enoughForSlowdown {
@@ -115,7 +119,10 @@
 		n, completed.work, completed.span = n+1, completed.work+float64(response.usualLatency), max(completed.span, since)
 	}
 	if n < enough {
-		completed.span = completed.busyTime(r.oldestInFlight(at), max(r.now-long, r.startedAt), r.now)
+		completed.span = min(long, age)
+		if r.routers <= routersThatSeeAll {
+			completed.span = completed.busyTime(r.oldestInFlight(at), max(r.now-long, r.startedAt), r.now)
+		}
 	}
 	for _, class := range r.classes {
 		completed.work = max(completed.work, float64(class.usualLatency))
@@ -160,7 +167,6 @@
 // or less: it takes a mean over the time of some responses.
 func (r *Router) expectedSlowdown(at locality) float64 {
 	const responses, longest = 10, Second // to take the mean over
-	const routersThatSeeAll = 4           // each of so few sees enough at each moment
 	completed := r.recentWork(at)
 	slowdown := completed.slowdown
 	unseen := max(0, 1-routersThatSeeAll/float64(r.routers))
