proxy: a router that can't start leaves no socket, goroutine or loop

What operators saw: after a start that failed at the release client (a wrong certificate), a second try in the same process fails, as the gossip address is in use.

Cause: StartWith closed what was open before the gossip socket only; that socket, the writer of the endpoint cache and the event loop with its timers stayed. Change: each is among the closers, the loop first; Close uses the same steps.

--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -1,10 +1,14 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"path/filepath"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +16,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"dapplefront/internal/controlclient"
+	"dapplefront/internal/eds"
 	"dapplefront/internal/inifile"
 	"dapplefront/internal/routerconfig"
 	"dapplefront/policy"
@@ -164,3 +170,34 @@
 		require.ErrorContains(t, err, what)
 	}
 }
+
+// noDiscovery is a watch that never tells anything.
+type noDiscovery struct{}
+
+func (noDiscovery) Ask()   {}
+func (noDiscovery) Close() {}
+
+// Guards against sockets and goroutines that stay when a router can't start because of its release client.
+func TestStartWith_LeavesNothingWhenReleaseClientCannotBeOpened(t *testing.T) {
+	port, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	own := port.LocalAddr().String()
+	require.NoError(t, port.Close())
+	s := inifile.Parse("f", fmt.Sprintf(configTemplate, filepath.Join(t.TempDir(), "list"), "127.0.0.1:1", "http://127.0.0.1:2", "[peers]\naddresses = "+own+"\n"))
+	config := routerconfig.From(s)
+	require.NoError(t, s.Err())
+	refused := errors.New("no certificate")
+	goroutines := runtime.NumGoroutine()
+	_, err = StartWith(Protocols{
+		Discovery:         func(eds.Handler) (Discovery, []eds.Host, error) { return noDiscovery{}, nil, nil },
+		ReleaseController: func(controlclient.Handler) (ReleaseClient, error) { return nil, refused },
+	}, config, slog.New(slog.DiscardHandler), nil)
+	require.ErrorIs(t, err, refused)
+	again, err := net.ListenPacket("udp", own)
+	require.NoError(t, err, "the gossip socket is closed")
+	require.NoError(t, again.Close())
+	for end := time.Now().Add(5 * time.Second); runtime.NumGoroutine() > goroutines && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // not by require.Eventually, which has a goroutine of its own
+	}
+	require.LessOrEqual(t, runtime.NumGoroutine(), goroutines)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -131,8 +131,11 @@
 	if p.gossip, err = p.openGossip(c); err != nil {
 		return nil, err
 	}
+	closers = append(closers, p.closeGossip)
 	go p.writeEndpointCache(c.EndpointCache)
+	closers = append(closers, p.stopCacheWriter)
 	p.loop.Do(p.startRouter)
+	closers = append(closers, p.loop.Close) // before the others, as its work uses them
 	if p.releases, err = protocols.ReleaseController(p.releaseHandler()); err != nil {
 		return nil, err
 	}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -54,20 +54,30 @@
 	p.engine.Stop()
 	p.discovery.Close()
 	p.releases.Close()
+	p.closeGossip()
+	p.stopCacheWriter()
+	if p.records != nil {
+		if n := p.records.Dropped(); n > 0 {
+			p.log.Warn("records were dropped", "entries", n)
+		}
+		p.logRecordError(p.records.Close())
+	}
+}
+
+// closeGossip closes the gossip socket for good.
+func (p *Proxy) closeGossip() {
 	p.configMu.Lock()
+	defer p.configMu.Unlock()
 	if p.gossip != nil {
 		p.gossip.Close()
 		p.gossip = nil
 	}
-	p.configMu.Unlock()
+}
+
+// stopCacheWriter ends the goroutine that caches endpoints and waits for it. The event loop must be closed.
+func (p *Proxy) stopCacheWriter() {
 	close(p.cacheUpdates)
 	<-p.cacheWriterDone
-	if p.records != nil {
-		if n := p.records.Dropped(); n > 0 {
-			p.log.Warn("records were dropped", "entries", n)
-		}
-		p.logRecordError(p.records.Close())
-	}
 }
 
 // Stall blocks the event loop for a time, as if the process were not scheduled. It is for tests.
