--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -68,6 +68,7 @@
 	requests      map[string]*request
 	lastRequestID uint64
 	counts        Counts
+	lateResponses uint64                 // of any outcome, after their request's deadline by the loop's clock
 	latestBuild   int                    // build of the last release status
 	outcomes      map[int]map[string]int // requests by build and outcome since the last report
 
@@ -86,7 +87,6 @@
 	ClientsGone    uint64 `json:"Left"`
 	Attempts       uint64 `json:"Sends"`
 	ShadowAttempts uint64 `json:"Copies"`
-	Late           uint64 `json:"Late"` // responses of any outcome after their request's deadline, by the router's clock
 }
 
 // Start starts a router that reaches discovery and the controllers by this project's own protocols; it listens when
@@ -209,6 +209,13 @@
 	return s
 }
 
+// LateResponses is how many responses of any outcome came after their request's deadline, by the router's clock; 0 once it
+// is closed.
+func (p *Proxy) LateResponses() (n uint64) {
+	p.loop.Do(func() { n = p.lateResponses })
+	return n
+}
+
 // InFlight returns how many requests wait for a response, how many client and upstream connections are open, and how
 // many bytes of bodies are held.
 func (p *Proxy) InFlight() (requests, clients, upstreams int, bytes int64) {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -59,7 +59,7 @@
 // countLate counts the response to a request that is answered now, if that is too late.
 func (p *Proxy) countLate(d *downstream.Request) {
 	if p.loop.Now() > d.Deadline {
-		p.counts.Late++
+		p.lateResponses++
 	}
 }
 
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -38,11 +38,11 @@
 		case <-time.After(drainPollInterval):
 		}
 	}
-	c := p.Counts()
+	c, late := p.Counts(), p.LateResponses()
 	p.Close()
 	stats := p.LoopStats()
 	p.log.Info("closed", "cut_off", left, "received", c.Received, "succeeded", c.Succeeded, "rejected", c.Rejected,
-		"failed", c.Failed, "clients_gone", c.ClientsGone, "late", c.Late, "queue_delay_p99", stats.QueueDelay.Quantile(logQuantile),
+		"failed", c.Failed, "clients_gone", c.ClientsGone, "late", late, "queue_delay_p99", stats.QueueDelay.Quantile(logQuantile),
 		"queue_delay_max", stats.QueueDelay.Longest, "timer_delay_p99", stats.TimerDelay.Quantile(logQuantile),
 		"timer_delay_max", stats.TimerDelay.Longest, "work_p99", stats.RunTime.Quantile(logQuantile), "work_max", stats.RunTime.Longest)
 	return left
--- a/internal/scenario/result.go
+++ b/internal/scenario/result.go
@@ -21,7 +21,6 @@
 	Latencies          map[string][]time.Duration // by class, of the requests that succeeded
 	Transitions        []Transition
 	Counts             map[string]proxy.Counts // by router, since its last start
-	LoopStats          eventloop.Stats         // of all routers' event loops
 	Elapsed            time.Duration
 	Agents             *AgentStatistics // nil without agents
 	Stages             []StageScore
@@ -30,6 +29,7 @@
 	Releases           []api.ReleaseObject
 	ConfigUpdates      int // of running routers
 	ControllerRestarts RestartCounts
+	LoopStats          eventloop.Stats // of all routers' event loops
 }
 
 // StageScore is the score of the requests of those seconds in which a release was in one stage and phase.
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -2,9 +2,6 @@
 
 import "math"
 
-// routersThatSeeAll is the number of routers up to which each sees enough of the hosts' work at each moment.
-const routersThatSeeAll = 4
-
 // admissionState is the work that each locality completed lately.
 type admissionState struct {
 	completed [2]completedWork
@@ -63,39 +60,8 @@
 	return len(c.responses) - c.windowStart
 }
 
-// busyTime is how long attempts were in flight between an earliest moment and now: the oldest one that still is, and those
-// whose responses are counted.
-func (c *completedWork) busyTime(oldestInFlight, earliest, now Time) Time {
-	covered := max(oldestInFlight, earliest) // from here on the time is counted
-	busy := now - covered
-	for i := len(c.responses.responses) - 1; i >= 0 && covered > earliest; i-- {
-		response := c.responses.responses[i]
-		sentAt := max(response.at-response.latency, earliest)
-		if end := min(response.at, covered); sentAt < end {
-			busy += end - sentAt
-			covered = sentAt
-		}
-	}
-	return busy
-}
-
-// oldestInFlight is when the oldest attempt in flight at a locality's healthy baseline hosts was sent; now for none.
-func (r *Router) oldestInFlight(at locality) Time {
-	oldest := r.now
-	for _, host := range r.hosts {
-		if host.health != healthy || !r.isBaseline(host) || r.localityOf(host) != at {
-			continue
-		}
-		for _, attempt := range host.inFlight {
-			oldest = min(oldest, attempt.sentAt)
-		}
-	}
-	return oldest
-}
-
 // recentWork is the work that a locality completed in the last two seconds, or in up to eight as far as that takes to find
-// enough responses. Where even these are too few, the time in which nothing was in flight is left out: it says
-// nothing of how fast hosts are. One of many routers can't leave it out, as hosts work for the others meanwhile.
+// enough responses.
 func (r *Router) recentWork(at locality) *completedWork {
 	const short, long = 2 * Second, 8 * Second
 	const enough, enoughForSlowdown = 20, 5
@@ -120,9 +86,6 @@
 	}
 	if n < enough {
 		completed.span = min(long, age)
-		if r.routers <= routersThatSeeAll {
-			completed.span = completed.busyTime(r.oldestInFlight(at), max(r.now-long, r.startedAt), r.now)
-		}
 	}
 	for _, class := range r.classes {
 		completed.work = max(completed.work, float64(class.usualLatency))
@@ -167,6 +130,7 @@
 // or less: it takes a mean over the time of some responses.
 func (r *Router) expectedSlowdown(at locality) float64 {
 	const responses, longest = 10, Second // to take the mean over
+	const routersThatSeeAll = 4           // each of so few sees enough at each moment
 	completed := r.recentWork(at)
 	slowdown := completed.slowdown
 	unseen := max(0, 1-routersThatSeeAll/float64(r.routers))
