Loop: deferred work reuses its memory, a wakeup counts its timers once

Seen on reading the change: Defer sliced its list away, so each attempt on an idle connection allocated a new one; a wakeup called the due timers a second time and counted their run time twice; JSON tags stood on figures that no JSON holds.

Change: the list is cleared and kept; a wakeup only sets the next one, as runBatch calls due timers before any work.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -97,11 +97,11 @@
 func (l *Loop) measure(work func(), delays *Histogram, dueAt, now time.Duration) (end time.Duration) {
 	delays.Add(now - dueAt)
 	work()
-	for len(l.deferred) > 0 && !l.closed.Load() {
-		next := l.deferred[0]
-		l.deferred = l.deferred[1:]
-		next()
+	for i := 0; i < len(l.deferred) && !l.closed.Load(); i++ { // which may grow
+		l.deferred[i]()
 	}
+	clear(l.deferred)
+	l.deferred = l.deferred[:0]
 	end = l.clock.elapsed()
 	l.stats.RunTime.Add(end - now)
 	l.lag.add(end, end-dueAt)
--- a/internal/eventloop/stats.go
+++ b/internal/eventloop/stats.go
@@ -7,9 +7,9 @@
 
 // Stats is how late and how long a loop's work was since it was made. It belongs to the loop's work.
 type Stats struct {
-	QueueDelay Histogram `json:"QueueDelay"` // of a piece of work, from Post to its start
-	TimerDelay Histogram `json:"TimerDelay"` // of a timer, from when it was due to its call
-	RunTime    Histogram `json:"RunTime"`    // of a piece of work or a timer's call
+	QueueDelay Histogram // of a piece of work, from Post to its start
+	TimerDelay Histogram // of a timer, from when it was due to its call
+	RunTime    Histogram // of a piece of work or a timer's call
 }
 
 // Merge adds the counts of another loop.
@@ -24,8 +24,8 @@
 
 // Histogram counts durations by their power of two in microseconds, and keeps the longest.
 type Histogram struct {
-	Buckets [histogramBuckets]uint64 `json:"Buckets"`
-	Longest time.Duration            `json:"Longest"`
+	Buckets [histogramBuckets]uint64
+	Longest time.Duration
 }
 
 // Add counts a duration; a negative one counts as 0.
--- a/internal/eventloop/timer.go
+++ b/internal/eventloop/timer.go
@@ -54,10 +54,9 @@
 	}
 }
 
-// wokenUp calls the timers that are due and sets the next wakeup.
+// wokenUp sets the next wakeup. The timers that are due were called before it, as before any work.
 func (l *Loop) wokenUp() {
 	l.wakeupAt = 0
-	l.callDueTimers(l.clock.elapsed())
 	l.schedule()
 }
 
