--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -175,22 +175,23 @@
 
 // Close ends the instance and waits for it, for shutdownTimeout at the most. Its store can be opened again, but after
 // ErrStillRunning.
-func (n *Node) Close() error {
+func (n *Node) Close() error { return n.closeWithin(shutdownTimeout) }
+
+// closeWithin ends the instance. The library is told first, as the instance's own goroutine may wait for it. While the library
+// runs it must not lose its store: it ends the process where it can't write.
+func (n *Node) closeWithin(timeout time.Duration) error {
 	close(n.stop)
-	n.done.Wait()
+	shutdown := n.raft.Shutdown()
 	ended := make(chan error, 1)
-	go func() { ended <- n.raft.Shutdown().Error() }()
-	return errors.Join(n.awaitEnd(ended, shutdownTimeout)...)
-}
-
-// awaitEnd waits for the raft library's end and closes what it used. While it runs it must not lose its store, as it ends
-// the process where it can't write.
-func (n *Node) awaitEnd(ended <-chan error, timeout time.Duration) []error {
+	go func() {
+		n.done.Wait()
+		ended <- shutdown.Error()
+	}()
 	select {
 	case err := <-ended:
-		return []error{err, n.transport.Close(), n.bolt.Close()}
+		return errors.Join(err, n.transport.Close(), n.bolt.Close())
 	case <-time.After(timeout):
-		return []error{fmt.Errorf("%w after %v", ErrStillRunning, timeout), n.transport.Close()}
+		return errors.Join(fmt.Errorf("%w after %v", ErrStillRunning, timeout), n.transport.Close())
 	}
 }
 
--- a/internal/controller/pipeline_test.go
+++ b/internal/controller/pipeline_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -79,11 +78,19 @@
 	n, err := Open(NodeConfig{Name: "c", Dir: t.TempDir(), Listen: "127.0.0.1:0", Bootstrap: true, FastElections: true, Control: testConfig,
 		InitialBuild: 1}, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
-	never := make(chan error)
-	require.ErrorIs(t, errors.Join(n.awaitEnd(never, 10*time.Millisecond)...), ErrStillRunning)
-	require.NoError(t, n.raft.Shutdown().Error())
-	close(n.stop)
+	release := make(chan struct{})
+	n.done.Go(func() { <-release }) // as one that waits for the library
+	closed := make(chan error, 1)
+	go func() { closed <- n.closeWithin(10 * time.Millisecond) }()
+	select {
+	case err := <-closed:
+		require.ErrorIs(t, err, ErrStillRunning)
+	case <-time.After(10 * time.Second):
+		t.Fatal("Close waits for good")
+	}
+	close(release)
 	n.done.Wait()
+	require.NoError(t, n.raft.Shutdown().Error())
 	require.NoError(t, n.bolt.Close(), "it was left open")
 }
 
