Log why a request of a stopping router has no response, and count it

A shutdown now logs what is open when it starts, each request that is refused because the router is closing, each one that the exit cuts off (ids, class, age, time left, attempts, hosts), and why the router closes a client's connection, as a warning if a response is still due. Counters of both kinds are in the line "closed" and in Proxy.ShutdownCounts.

--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -1,7 +1,9 @@
 package downstream
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"net/netip"
 	"strings"
 	"sync"
@@ -129,6 +131,7 @@
 	if c.awaitingResponse.Add(1) > int64(maxQueuedFactor*c.server.config.MaxPipelined) {
 		c.readStopped = true
 		m.Drop()
+		c.server.loop.Post(func() { c.logClosed("too many requests at once on one connection") })
 		c.conn.Close()
 		return nil
 	}
@@ -174,6 +177,19 @@
 	c.conn.Close()
 }
 
+// logClosed logs why the server closes the connection, with what it leaves behind. Closing a connection that has nothing
+// left is logged as debug.
+func (c *clientConn) logClosed(reason string) {
+	unsent, _ := c.conn.Pending()
+	unanswered, partial := c.awaitingResponse.Load(), c.requestStartedAt.Load() != 0
+	level := slog.LevelDebug
+	if unanswered > 0 || unsent > 0 || partial {
+		level = slog.LevelWarn
+	}
+	c.server.log.Log(context.Background(), level, "client connection closed", "reason", reason, "client", c.conn.Remote().String(),
+		"unanswered", unanswered, "unsent_bytes", unsent, "partial_request", partial)
+}
+
 // closeIfIdle closes the connection if it is idle, and reports whether it closed it. The connection is idle if all requests
 // have been responded to, the last response has been sent completely and no byte of another request has arrived, not even
 // in the kernel's buffer.
@@ -209,6 +225,7 @@
 		c.pending = c.pending[1:]
 		c.awaitingResponse.Add(-1)
 		if unsent, _ := c.conn.Pending(); unsent > unreadBodies*c.server.config.Limits.Body+unreadSlack {
+			c.logClosed("the client does not read its responses")
 			c.conn.Close()
 			return
 		}
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -16,11 +16,13 @@
 // Request is a request that a server passes to its handler. It gets one final response, through Respond, Reject or Fail.
 type Request struct {
 	Message        *http1.Message
+	ID             string // the id that the client gave the request; empty if the protocol has none
 	Class          string
 	Tenant         string
 	IdempotencyKey string
 	Key            string
 	Timeout        policy.Time // the time that is left when the server calls the handler
+	ArrivedAt      policy.Time // when the request's first byte arrived
 	Deadline       policy.Time // when the request's timeout expires, which is counted from its first byte
 	ExpectedWork   policy.Time
 	ClientRetry    bool
@@ -58,6 +60,8 @@
 		p.refuse(err)
 	case s.state == closing:
 		m.Drop()
+		s.refusedClosing++
+		s.log.Info("request refused", "request", r.ID, "class", r.Class, "reason", "the router is closing")
 		r.Reject(0, "this router is closing")
 	case len(c.pending) > s.config.MaxPipelined:
 		m.Drop()
@@ -92,7 +96,7 @@
 		return nil, err
 	}
 	now := s.loop.Now()
-	r.Deadline = startedAt + r.Timeout
+	r.ID, r.ArrivedAt, r.Deadline = r.pending.id, startedAt, startedAt+r.Timeout
 	if r.Timeout -= now - startedAt; s.deadline != 0 {
 		r.Timeout = min(r.Timeout, s.deadline-now)
 	}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -16,6 +16,7 @@
 package downstream
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -89,8 +90,11 @@
 	state      serverState
 	deadline   policy.Time // by when requests that arrive while the server is draining are responded to; 0 means no deadline
 	conns      map[*clientConn]bool
-	unanswered int                         // number of requests without a response
-	openByID   map[string]*pendingResponse // responses that are due, by the id that the client gave the request
+	unanswered int // number of requests without a response
+	log        *slog.Logger
+
+	refusedClosing uint64                      // requests that were rejected because the server was closing
+	openByID       map[string]*pendingResponse // responses that are due, by the id that the client gave the request
 }
 
 type serverState int
@@ -111,7 +115,8 @@
 // request's message. It must drop the message when no attempt needs its body any longer.
 func NewServer(l *eventloop.Loop, c Config, budget *http1.Budget, handler func(*Request)) *Server {
 	s := &Server{loop: l, config: c, budget: budget, handler: handler, classes: map[string]*Class{},
-		networks: new(bart.Table[string]), conns: map[*clientConn]bool{}, protocol: c.Protocol, openByID: map[string]*pendingResponse{}}
+		networks: new(bart.Table[string]), conns: map[*clientConn]bool{}, protocol: c.Protocol, openByID: map[string]*pendingResponse{},
+		log: slog.New(slog.DiscardHandler)}
 	if s.protocol == nil {
 		s.protocol = DefaultProtocol
 	}
@@ -134,6 +139,13 @@
 // SetReady sets the function that reports whether the router is ready; nil means always ready.
 func (s *Server) SetReady(ready func() bool) { s.ready = ready }
 
+// SetLog sets the logger of refused requests and of connections that are closed with requests without a response. Without
+// it, nothing is logged.
+func (s *Server) SetLog(log *slog.Logger) { s.log = log }
+
+// RefusedWhileClosing returns how many requests were rejected because the server was closing.
+func (s *Server) RefusedWhileClosing() uint64 { return s.refusedClosing }
+
 // StartDraining continues to serve requests, but closes each connection after a response, so that clients connect
 // elsewhere. Requests that arrive from now on are responded to before the deadline; 0 means no deadline.
 func (s *Server) StartDraining(deadline policy.Time) {
@@ -177,6 +189,7 @@
 	s.loop.Post(func() {
 		if len(s.conns) >= s.config.MaxConnections && !s.reclaim() {
 			c.state = connClosed // its requests are not handled, because no response can reach the client
+			c.logClosed("the limit on client connections is reached")
 			conn.Close()
 			return
 		}
@@ -238,6 +251,7 @@
 		switch {
 		case c.state == connLingering && now-c.lingeringSince > lingerTimeout,
 			!unreadSince.IsZero() && time.Since(unreadSince) > s.config.TransferTimeout:
+			c.logClosed("the client did not read its response or did not close in time")
 			c.close()
 		case c.state == connLingering:
 		case started != 0 && (now-started > transfer || firstOverdue):
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -38,6 +38,7 @@
 	} else {
 		r.host = a.Host
 	}
+	r.hosts = append(r.hosts, a.Host)
 	number, host := a.Attempt, a.Host
 	r.attempts = append(r.attempts, p.pool.Send(host, head, m.Body, m.Method == http.MethodHead, a.Duration,
 		func(result upstream.Result) { p.attemptEnded(r, number, host, result) }))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -69,6 +69,7 @@
 	requests      map[string]*request
 	lastRequestID uint64
 	counts        Counts
+	shutdown      ShutdownCounts
 	lateResponses uint64                 // responses with any outcome that were sent after the request's deadline, by the loop's clock
 	latestBuild   int                    // build in the latest release status; 0 before the first status
 	outcomes      map[int]map[string]int // number of requests since the last report, by build and outcome
@@ -174,6 +175,7 @@
 	c := p.config
 	p.pool = upstream.NewPool(p.loop, p.engine, c.Upstream, p.budget)
 	p.server = downstream.NewServer(p.loop, c.Downstream, p.budget, p.requestArrived)
+	p.server.SetLog(p.log)
 	config := c.Router
 	config.Seed ^= uint64(p.loop.Now()) // a restarted router must not draw the same random numbers again
 	var actions []router.Action
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"dapplefront/internal/downstream"
+	"dapplefront/internal/eventloop"
 	"dapplefront/internal/upstream"
 	"dapplefront/policy"
 	"dapplefront/router"
@@ -22,9 +23,10 @@
 	responseDue bool // the client is still waiting for its one final response
 	outstanding int  // number of attempts that have not ended
 	attempts    []*upstream.Attempt
-	commonHead  []byte // the part of the head that all attempts share; nil before the first one
-	timedOut    bool   // the attempt that ended last got no response before its timeout
-	host        uint32 // the host that responded, or else the host of the latest attempt that is not a shadow attempt
+	commonHead  []byte   // the part of the head that all attempts share; nil before the first one
+	timedOut    bool     // the attempt that ended last got no response before its timeout
+	hosts       []uint32 // the host of each attempt
+	host        uint32   // the host that responded, or else the host of the latest attempt that is not a shadow attempt
 }
 
 // requestArrived passes a request to the router, or rejects it if too many are in flight or no time is left. It first
@@ -36,6 +38,7 @@
 		d.Message.Drop()
 		p.counts.Rejected++
 		p.countIfLate(d)
+		p.log.Debug("request refused", "request", d.ID, "class", d.Class, "in_flight", len(p.requests), "time_left", eventloop.Duration(d.Timeout))
 		d.Reject(limits.MaxRetryAfter/4, "this router holds as many tasks as it may")
 		return
 	}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -16,7 +16,10 @@
 // not ready, closes each connection after a response, and responds to requests that arrive from now on before the given
 // time has passed.
 func (p *Proxy) StartDraining(within time.Duration) {
-	p.loop.Do(func() { p.server.StartDraining(p.loop.Now() + eventloop.FromDuration(within)) })
+	p.loop.Do(func() {
+		p.server.StartDraining(p.loop.Now() + eventloop.FromDuration(within))
+		p.log.Info("draining", "unanswered", p.server.Open(), "client_connections", p.server.Connections(), "respond_within", within)
+	})
 }
 
 // Shutdown is the second step of a graceful shutdown. It accepts no new connections and rejects new requests. It waits
@@ -40,10 +43,12 @@
 		case <-time.After(drainPollInterval):
 		}
 	}
+	p.loop.Do(p.logUnanswered)
 	c, late := p.Counts(), p.LateResponses()
 	p.Close()
 	stats := p.LoopStats()
-	p.log.Info("closed", "cut_off", left, "received", c.Received, "succeeded", c.Succeeded, "rejected", c.Rejected,
+	p.log.Info("closed", "cut_off", left, "refused_while_closing", p.ShutdownCounts().RefusedWhileClosing,
+		"received", c.Received, "succeeded", c.Succeeded, "rejected", c.Rejected,
 		"failed", c.Failed, "clients_gone", c.ClientsGone, "late", late, "queue_delay_p99", stats.QueueDelay.Quantile(logQuantile),
 		"queue_delay_max", stats.QueueDelay.Longest, "timer_delay_p99", stats.TimerDelay.Quantile(logQuantile),
 		"timer_delay_max", stats.TimerDelay.Longest, "work_p99", stats.RunTime.Quantile(logQuantile), "work_max", stats.RunTime.Longest)
--- /dev/null
+++ b/internal/proxy/unanswered.go
@@ -0,0 +1,52 @@
+package proxy
+
+import (
+	"slices"
+
+	"dapplefront/internal/eventloop"
+)
+
+// ShutdownCounts contains the numbers of requests that a shutdown kept from their regular end.
+type ShutdownCounts struct {
+	CutOffByExit        uint64 // had no response when the router was closed
+	RefusedWhileClosing uint64 // arrived when the router no longer served
+}
+
+// ShutdownCounts returns the numbers so far. It may be called while the router runs, and after Close has returned.
+func (p *Proxy) ShutdownCounts() (c ShutdownCounts) {
+	read := func() {
+		c = p.shutdown
+		c.RefusedWhileClosing = p.server.RefusedWhileClosing()
+	}
+	if !p.loop.Do(read) {
+		read()
+	}
+	return c
+}
+
+// logUnanswered logs every request that has no response when the router is closed, the oldest first, and counts them.
+func (p *Proxy) logUnanswered() {
+	for _, r := range p.unanswered() {
+		p.shutdown.CutOffByExit++
+		p.log.Error("request cut off by the exit", p.describe(r)...)
+	}
+}
+
+// unanswered returns the requests that are waiting for their response, in the order of their arrival.
+func (p *Proxy) unanswered() (requests []*request) {
+	for _, r := range p.requests {
+		if r.responseDue {
+			requests = append(requests, r)
+		}
+	}
+	slices.SortFunc(requests, func(a, b *request) int { return int(a.downstream.ArrivedAt - b.downstream.ArrivedAt) })
+	return requests
+}
+
+// describe returns the log attributes of a request: its ids, class, age, remaining time and attempts.
+func (p *Proxy) describe(r *request) []any {
+	now := p.loop.Now()
+	return []any{"request", r.downstream.ID, "router_id", r.id, "class", r.downstream.Class,
+		"age", eventloop.Duration(now - r.downstream.ArrivedAt), "time_left", eventloop.Duration(r.downstream.Deadline - now),
+		"attempts", len(r.attempts), "in_flight", r.outstanding, "hosts", r.hosts}
+}
