--- a/internal/node/fixture_test.go
+++ b/internal/node/fixture_test.go
@@ -298,7 +298,7 @@
 	return c.read().status
 }
 
-func encode(t *testing.T, b map[string]any) string {
+func encode(t testing.TB, b map[string]any) string {
 	t.Helper()
 	text, err := json.Marshal(b)
 	require.NoError(t, err)
--- a/internal/node/soak_test.go
+++ b/internal/node/soak_test.go
@@ -5,15 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"os/signal"
 	"path/filepath"
-	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,60 +25,21 @@
 // The soak test runs a router as a process on loopback, sends it a series of signals and checks what clients and hosts
 // observe. For manual runs, SOAK_SEEDS sets the number of seeds and SOAK_FIRST the first seed.
 const (
-	soakRouterVariable = "DAPPLEFRONT_SOAK_ROUTER" // the configuration file; if it is set, the test process runs the router
-	soakSeedsVariable  = "SOAK_SEEDS"
-	soakFirstVariable  = "SOAK_FIRST"
-	soakSeeds          = 8
+	soakSeedsVariable = "SOAK_SEEDS"
+	soakFirstVariable = "SOAK_FIRST"
+	soakSeeds         = 8
 
 	soakTimeout = 900 * time.Millisecond // the clients' request timeout; the longest deadline of the classes is 1 s
 	// A response up to soakLateAllowed after the request timeout is late; after that, it counts as lost.
-	soakLateAllowed      = 500 * time.Millisecond
-	soakKillAfter        = 1700 * time.Millisecond // after SIGTERM: the longest deadline plus 0.7 s
-	soakDrainGrace       = 300 * time.Millisecond  // how long attempts may still arrive at a host after it is reported as draining
-	soakTransitMargin    = 150 * time.Millisecond  // additional allowance for attempts in transit
-	soakCloseRace        = 10 * time.Millisecond   // a request sent this shortly before its connection ends raced with the close
-	soakClients          = 8
-	soakExtraClients     = 100
-	soakGoroutineTimeout = 2 * time.Second // how long the goroutines of a stopped router may take to end
-	exitSoakLeak         = 9               // exit status of the router's process after a leak
-	soakStoppedLine      = "ended"         // the line that the router's process writes when the router has stopped
+	soakLateAllowed   = 500 * time.Millisecond
+	soakKillAfter     = 1700 * time.Millisecond // after SIGTERM: the longest deadline plus 0.7 s
+	soakDrainGrace    = 300 * time.Millisecond  // how long attempts may still arrive at a host after it is reported as draining
+	soakTransitMargin = 150 * time.Millisecond  // additional allowance for attempts in transit
+	soakCloseRace     = 10 * time.Millisecond   // a request sent this shortly before its connection ends raced with the close
+	soakClients       = 8
+	soakExtraClients  = 100
 )
 
-func TestMain(m *testing.M) {
-	if file := os.Getenv(soakRouterVariable); file != "" {
-		os.Exit(runSoakRouter(file))
-	}
-	os.Exit(m.Run())
-}
-
-// runSoakRouter runs the router in its own process. It fails if goroutines or descriptors leak after the router has stopped.
-func runSoakRouter(file string) int {
-	terminate, reload := make(chan os.Signal, 2), make(chan os.Signal, 1)
-	signal.Notify(terminate, syscall.SIGTERM)
-	signal.Notify(reload, syscall.SIGHUP)
-	goroutines, descriptors := runtime.NumGoroutine(), openDescriptors()
-	if _, err := Run(file, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})), terminate, reload); err != nil {
-		fmt.Fprintln(os.Stderr, "run:", err)
-		return 1
-	}
-	fmt.Println(soakStoppedLine)
-	const poller = 2 // descriptors that the runtime's poller opens with the first socket
-	for end := time.Now().Add(soakGoroutineTimeout); runtime.NumGoroutine() > goroutines || openDescriptors() > descriptors+poller; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			stacks := make([]byte, 1<<20)
-			fmt.Fprintf(os.Stderr, "leaked: %d goroutines, %d descriptors\n%s", runtime.NumGoroutine()-goroutines, openDescriptors()-descriptors,
-				stacks[:runtime.Stack(stacks, true)])
-			return exitSoakLeak
-		}
-	}
-	return 0
-}
-
-func openDescriptors() int {
-	entries, _ := os.ReadDir("/proc/self/fd")
-	return len(entries)
-}
-
 // soakNumber returns a number from the environment, or the default if the variable is not set.
 func soakNumber(t *testing.T, variable string, defaultNumber int) int {
 	t.Helper()
@@ -113,9 +70,7 @@
 	activePlatform int // index of the platform in the newest configuration
 	configFile     string
 	address        string
-	process        *exec.Cmd
-	lines          io.Reader // standard output of the process
-	output         strings.Builder
+	router         *routerProcess
 
 	terminatedAt     atomic.Int64 // when SIGTERM was sent, as Unix time in ns; 0 before that
 	stopConnectingAt atomic.Int64 // when clients stop opening connections, as Unix time in ns; 0 before it is set
@@ -139,10 +94,7 @@
 	for i := range s.platforms {
 		s.platforms[i] = newFakePlatform(t, slices.Clone(members)...)
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	s.address = free.Addr().String()
-	require.NoError(t, free.Close())
+	s.address = freeAddress(t)
 	s.configFile = filepath.Join(t.TempDir(), "config.json")
 	s.writeConfig(0)
 	return s
@@ -179,13 +131,11 @@
 func (s *soak) writeConfig(platform int) {
 	b := configJSON(s.platforms[platform].address(), s.platforms[platform].address())
 	b["listen"] = s.address
-	next := s.configFile + ".next"
-	require.NoError(s, os.WriteFile(next, []byte(encode(s.T, b)), 0o600))
-	require.NoError(s, os.Rename(next, s.configFile))
+	writeConfigFile(s, s.configFile, b)
 }
 
 func (s *soak) run() {
-	s.startRouter()
+	s.router = startRouterProcess(s, s.configFile, s.address)
 	var clients sync.WaitGroup
 	manyClients := s.random.IntN(3) == 0
 	n := soakClients
@@ -204,35 +154,10 @@
 	s.terminate()
 	clients.Wait()
 	s.Logf("many clients %v: %v", manyClients, s.outcomes)
-	require.Empty(s, s.findings, s.output.String())
+	require.Empty(s, s.findings, s.router.output.String())
 	require.Positive(s, s.outcomes["200"])
 }
 
-func (s *soak) startRouter() {
-	program, err := os.Executable()
-	require.NoError(s, err)
-	s.process = exec.Command(program)
-	s.process.Env = append(os.Environ(), soakRouterVariable+"="+s.configFile)
-	s.process.Stderr = &s.output
-	s.lines, err = s.process.StdoutPipe()
-	require.NoError(s, err)
-	require.NoError(s, s.process.Start())
-	require.Eventually(s, func() bool {
-		c, err := net.Dial("tcp", s.address)
-		if err != nil {
-			return false
-		}
-		defer func() { _ = c.Close() }()
-		_, _ = io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-		got, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			return false
-		}
-		defer func() { _ = got.Body.Close() }()
-		return got.StatusCode == http.StatusOK
-	}, 20*time.Second, 5*time.Millisecond)
-}
-
 // pause sleeps for a random time from least to most, in ms.
 func (s *soak) pause(least, most int) {
 	time.Sleep(time.Duration(least+s.random.IntN(most-least+1)) * time.Millisecond)
@@ -243,7 +168,7 @@
 	for range 1 + s.random.IntN(4) {
 		s.activePlatform = s.random.IntN(2)
 		s.writeConfig(s.activePlatform)
-		_ = s.process.Process.Signal(syscall.SIGHUP)
+		s.router.signal(syscall.SIGHUP)
 		s.pause(0, 60)
 	}
 }
@@ -275,36 +200,21 @@
 func (s *soak) terminate() {
 	if s.random.IntN(2) == 0 {
 		s.writeConfig(s.random.IntN(2))
-		_ = s.process.Process.Signal(syscall.SIGHUP)
+		s.router.signal(syscall.SIGHUP)
 		s.pause(0, 20)
 	}
-	require.NoError(s, s.process.Process.Signal(syscall.SIGTERM))
+	s.router.signal(syscall.SIGTERM)
 	now := time.Now()
 	s.terminatedAt.Store(now.UnixNano())
 	s.stopConnectingAt.Store(now.Add(time.Duration(200+s.random.IntN(200)) * time.Millisecond).UnixNano())
 	for range s.random.IntN(3) {
 		s.pause(0, 300)
-		_ = s.process.Process.Signal(syscall.SIGHUP)
+		s.router.signal(syscall.SIGHUP)
 	}
-	s.awaitEnd(now)
-}
-
-// awaitEnd waits until the router has stopped, or kills it, and then waits until its process has exited.
-func (s *soak) awaitEnd(terminated time.Time) {
-	line := make(chan string, 1)
-	go func() {
-		text, _ := bufio.NewReader(s.lines).ReadString('\n')
-		line <- strings.TrimSpace(text)
-	}()
-	select {
-	case text := <-line:
-		require.Equal(s, soakStoppedLine, text, s.output.String())
+	if s.router.awaitEnd(now.Add(soakKillAfter)) {
 		s.count("exited before the kill")
-		require.NoError(s, s.process.Wait(), s.output.String())
-	case <-time.After(time.Until(terminated.Add(soakKillAfter))):
+	} else {
 		s.count("killed")
-		_ = s.process.Process.Kill()
-		_ = s.process.Wait() // the error only says that the process was killed
 	}
 }
 
