A stopping router responds to every request before the process may be killed

Cause: the shutdown was planned by a time of the platform that was taken as longer than it is. Requests in flight at SIGTERM kept their own, longer timeouts, and a timer ended the process whether or not it had responded.

The event ShutdownStarted tells the policy, which bounds attempts and retries by the last response and then gives up what is left: rejected if it was never sent to a host, else failed. The process ends when every request has its response and every connection is closed; no timer ends it, and the listener stays open until then. A request that has not arrived completely is refused at the last response. An interrupt has every request responded to instead of cutting it off, so the test of the number of unanswered requests after an abort (it was 1) is replaced by one that wants the response itself and the number 0.

--- a/cmd/dapplefront/router.go
+++ b/cmd/dapplefront/router.go
@@ -52,10 +52,10 @@
 		case received = <-terminate:
 		}
 	}
-	log.Info("draining", "signal", received.String(), "at most", config.DrainTimeout)
+	log.Info("shutting down", "signal", received.String(), "kill_after", config.KillAfter)
 	abort := make(chan struct{})
 	go func() { <-terminate; close(abort) }()
-	if unanswered := p.Shutdown(config.DrainTimeout, abort); unanswered > 0 {
+	if unanswered := p.Shutdown(config.KillAfter, abort); unanswered > 0 {
 		return exitCode(exitFailed)
 	}
 	return nil
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -165,6 +165,16 @@
 	s.closeIdle()
 }
 
+// RefuseArriving refuses the requests that have not arrived completely, and closes their connections.
+func (s *Server) RefuseArriving() {
+	for c := range s.conns {
+		if c.state == connOpen && len(c.pending) == 0 && c.requestStartedAt.Load() != 0 {
+			c.logClosed("the router is closing and the request has not arrived completely")
+			c.refuse(&http1.Error{Status: http.StatusServiceUnavailable, Text: "this router is closing"})
+		}
+	}
+}
+
 // Drained closes idle connections and reports whether none is open any more: every request was responded to, and each
 // client has closed its connection or has had the time to read the response and close.
 func (s *Server) Drained() bool {
--- a/internal/node/fixture_test.go
+++ b/internal/node/fixture_test.go
@@ -298,9 +298,9 @@
 	return c.read().status
 }
 
-func encode(t testing.TB, b map[string]any) string {
-	t.Helper()
+func encode(tb testing.TB, b map[string]any) string {
+	tb.Helper()
 	text, err := json.Marshal(b)
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	return string(text)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 import (
 	"log/slog"
 	"reflect"
-	"time"
 
 	"dapplefront/internal/controlclient"
 	"dapplefront/internal/discovery"
@@ -16,14 +15,6 @@
 	"dapplefront/internal/proxy"
 )
 
-// Durations of a graceful shutdown. It takes at most lameDuckTime plus the drain timeout minus shutdownMargin. This stays
-// below the drain timeout plus 0.7 s, after which the platform may kill the process.
-const (
-	lameDuckTime      = 750 * time.Millisecond // how long new connections are still accepted; those of the first 0.7 s must be served
-	shutdownMargin    = 200 * time.Millisecond // draining ends this long before the drain timeout
-	lastResponseGrace = 100 * time.Millisecond // time for clients to read their last responses
-)
-
 // Node is a router that serves on the platform. Its methods are called from one goroutine.
 type Node struct {
 	config   *Config
@@ -71,17 +62,10 @@
 	return nil
 }
 
-// Shutdown shuts the router down gracefully. At first it still accepts new connections and closes each connection after
-// its response. Then it stops listening and waits for requests in flight until the drain timeout has passed or abort is
-// closed. It returns the number of requests that got no response.
+// Shutdown shuts the router down gracefully, so that every request has its response before the platform may kill the
+// process. If abort is closed, it responds to all requests at once. It returns the number of requests that got no response.
 func (n *Node) Shutdown(abort <-chan struct{}) int {
-	drainTimeout := n.config.Router.DrainTimeout - shutdownMargin
-	n.instance.StartDraining(lameDuckTime + drainTimeout - lastResponseGrace)
-	select {
-	case <-time.After(lameDuckTime):
-	case <-abort:
-	}
-	return n.instance.Shutdown(drainTimeout, abort)
+	return n.instance.Shutdown(n.config.Router.KillAfter, abort)
 }
 
 // Close stops the router immediately, without draining.
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -73,45 +73,45 @@
 }
 
 // freeAddress returns an address on loopback on which nothing listens.
-func freeAddress(t testing.TB) string {
-	t.Helper()
+func freeAddress(tb testing.TB) string {
+	tb.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
 // writeConfigFile replaces the configuration file in one step.
-func writeConfigFile(t testing.TB, file string, config map[string]any) {
-	t.Helper()
+func writeConfigFile(tb testing.TB, file string, config map[string]any) {
+	tb.Helper()
 	next := file + ".next"
-	require.NoError(t, os.WriteFile(next, []byte(encode(t, config)), 0o600))
-	require.NoError(t, os.Rename(next, file))
+	require.NoError(tb, os.WriteFile(next, []byte(encode(tb, config)), 0o600))
+	require.NoError(tb, os.Rename(next, file))
 }
 
 // startConfiguredProcess starts a router with a configuration that it writes to a file, and waits until it is ready.
-func startConfiguredProcess(t testing.TB, config map[string]any) *routerProcess {
-	t.Helper()
-	address := freeAddress(t)
+func startConfiguredProcess(tb testing.TB, config map[string]any) *routerProcess {
+	tb.Helper()
+	address := freeAddress(tb)
 	config["listen"] = address
-	file := filepath.Join(t.TempDir(), "config.json")
-	writeConfigFile(t, file, config)
-	return startRouterProcess(t, file, address)
+	file := filepath.Join(tb.TempDir(), "config.json")
+	writeConfigFile(tb, file, config)
+	return startRouterProcess(tb, file, address)
 }
 
 // startRouterProcess starts a router that listens on address and waits until it is ready.
-func startRouterProcess(t testing.TB, configFile, address string, environment ...string) *routerProcess {
-	t.Helper()
+func startRouterProcess(tb testing.TB, configFile, address string, environment ...string) *routerProcess {
+	tb.Helper()
 	program, err := os.Executable()
-	require.NoError(t, err)
-	p := &routerProcess{TB: t, command: exec.Command(program), address: address}
+	require.NoError(tb, err)
+	p := &routerProcess{TB: tb, command: exec.Command(program), address: address}
 	p.command.Env = append(append(os.Environ(), routerFileVariable+"="+configFile), environment...)
 	p.command.Stderr = &p.output
 	p.lines, err = p.command.StdoutPipe()
-	require.NoError(t, err)
-	require.NoError(t, p.command.Start())
-	t.Cleanup(func() { _ = p.command.Process.Kill() }) // a process that has been waited for is not signaled
-	require.Eventually(t, p.ready, 20*time.Second, 5*time.Millisecond)
+	require.NoError(tb, err)
+	require.NoError(tb, p.command.Start())
+	tb.Cleanup(func() { _ = p.command.Process.Kill() }) // a process that has been waited for is not signaled
+	require.Eventually(tb, p.ready, 20*time.Second, 5*time.Millisecond)
 	return p
 }
 
--- a/internal/node/router_config.go
+++ b/internal/node/router_config.go
@@ -24,7 +24,6 @@
 	// standard streams, the listener, two discovery watches, two feeds, and votes.
 	reservedSockets = 28
 
-	minDrainTimeout   = 3 * time.Second // the longest request timeout applies instead if it is longer
 	minConnectTimeout = 50 * time.Millisecond
 
 	// idleMargin is subtracted from the hosts' idle timeout to get the router's idle timeout, because a host may close an
@@ -68,7 +67,7 @@
 	sockets := c.Limits.Sockets - reservedSockets
 	maxUpstream := sockets * 9 / 20
 	idle := c.duration("Permissions.ConnIdleUs")
-	r := &routerconfig.Config{Name: c.Name, Listen: c.Listen, DrainTimeout: minDrainTimeout, MaxBodyBytes: c.Limits.MemoryMB << 20 / 6,
+	r := &routerconfig.Config{Name: c.Name, Listen: c.Listen, MaxBodyBytes: c.Limits.MemoryMB << 20 / 6,
 		Router: c.settings.Router}
 	r.Upstream = upstream.Config{ConnectTimeout: max(c.duration("Permissions.ConnectTimeoutUs"), minConnectTimeout),
 		IdleTimeout:           max(idle-idleMargin, idle/2, minUpstreamIdleTimeout),
@@ -77,11 +76,13 @@
 	r.Downstream = downstream.Config{RouterName: c.Name, TransferTimeout: transferTimeout, IdleTimeout: clientIdleTimeout,
 		FirstRequestTimeout: firstRequestTimeout, ReclaimIdleAfter: reclaimIdleAfter, MaxConnections: sockets - maxUpstream, MaxPipelined: 1,
 		Limits: http1.Limits{Head: maxHeadBytes, Body: maxRequestBodyBytes}, Protocol: downstreamProtocol}
+	longestDeadline := time.Duration(0)
 	for i, class := range r.Router.Classes {
-		d := downstreamClass(class.Name, class.Idempotency, c.duration(fmt.Sprintf("Categories.%d.DeadlineUs", i)))
-		r.DrainTimeout = max(r.DrainTimeout, eventloop.Duration(d.Timeout))
-		r.Downstream.Classes = append(r.Downstream.Classes, d)
+		deadline := c.duration(fmt.Sprintf("Categories.%d.DeadlineUs", i))
+		longestDeadline = max(longestDeadline, deadline)
+		r.Downstream.Classes = append(r.Downstream.Classes, downstreamClass(class.Name, class.Idempotency, deadline))
 	}
+	r.KillAfter = earliestKillAfter(longestDeadline)
 	return r
 }
 
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -220,13 +220,7 @@
 	t.Helper()
 	t.Logf("%d requests: %d served, %d rejected, %d and %d failed; stopped before the kill: %v", len(p.requests), p.withStatus(http.StatusOK),
 		p.withStatus(http.StatusServiceUnavailable), p.withStatus(http.StatusBadGateway), p.withStatus(http.StatusGatewayTimeout), p.stopped)
-	if lost := p.lost(); len(lost) > 0 {
-		for _, line := range lost {
-			t.Log("lost:", line)
-		}
-		t.Log(p.log)
-	}
-	require.Empty(t, len(p.lost()), "requests without a response")
+	require.Empty(t, p.lost(), "requests without a response; the router's log: %s", p.log)
 }
 
 // deadlinesOf returns the deadlines of the classes, which are given in seconds.
@@ -278,3 +272,25 @@
 		}
 	}
 }
+
+// Guards against attempts that a stopping router gives up although their hosts respond in time.
+func TestShutdown_ServesRequestsOfSlowHostsUntilLastResponse(t *testing.T) {
+	const latency = 1200 * time.Millisecond
+	respondSlowly := func(c net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(latency)
+		return respondOK(c, r, body)
+	}
+	deadlines := deadlinesOf(5.7, 7.6, 7.6)
+	play := shutdownPlay{deadlines: deadlines, serve: respondSlowly, from: -2 * time.Second, every: 30 * time.Millisecond}
+	played := play.play(t)
+	played.requireAllAnswered(t)
+	lastServed := earliestKill(deadlines[0]) - 3*pageHoldUp
+	attempted := 0
+	for _, r := range played.requests {
+		if r.wasAtAHost && r.sentAt+latency < lastServed {
+			attempted++
+			require.Equal(t, http.StatusOK, r.status, r.String())
+		}
+	}
+	require.Positive(t, attempted)
+}
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -63,6 +63,7 @@
 			}
 		case router.Reject, router.Fail:
 			if r := p.requests[a.RequestID]; r != nil && r.responseDue {
+				p.countGivenUp(r, a)
 				p.respondFinal(r, a)
 			}
 		case router.SetTimer:
@@ -76,6 +77,10 @@
 			if p.gossip != nil {
 				p.gossip.Send(a.Peer, a.Body)
 			}
+		case router.CancelUnsent:
+			if r := p.requests[a.RequestID]; r != nil {
+				r.cancelAttempts()
+			}
 		case router.CheckHealth:
 			p.checkHealth(a.Host)
 		case router.AcknowledgePlan:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,13 +66,14 @@
 	handling     bool
 	actionBuffer []router.Action // reused for each event
 
-	requests      map[string]*request
-	lastRequestID uint64
-	counts        Counts
-	shutdown      ShutdownCounts
-	lateResponses uint64                 // responses with any outcome that were sent after the request's deadline, by the loop's clock
-	latestBuild   int                    // build in the latest release status; 0 before the first status
-	outcomes      map[int]map[string]int // number of requests since the last report, by build and outcome
+	requests       map[string]*request
+	lastRequestID  uint64
+	counts         Counts
+	shutdown       ShutdownCounts
+	lastResponseAt policy.Time            // when a shutdown gives up the requests without a response; 0 before a shutdown
+	lateResponses  uint64                 // responses with any outcome that were sent after the request's deadline, by the loop's clock
+	latestBuild    int                    // build in the latest release status; 0 before the first status
+	outcomes       map[int]map[string]int // number of requests since the last report, by build and outcome
 
 	endpoints        map[uint32]eds.Host
 	initialEndpoints []eds.Host // known before discovery's first response
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -4,55 +4,114 @@
 	"time"
 
 	"dapplefront/internal/eventloop"
+	"dapplefront/policy"
+	"dapplefront/router"
 )
 
-// drainPollInterval is the interval at which Shutdown checks whether all client connections are closed.
-const drainPollInterval = 10 * time.Millisecond
+const (
+	// drainPollInterval is the interval at which Shutdown checks whether all client connections are closed.
+	drainPollInterval = 10 * time.Millisecond
 
-// logQuantile is the quantile of the event loop's delays and run times that is logged.
-const logQuantile = 0.99
+	// abortGrace is how long Shutdown waits for clients to read their responses after it was aborted.
+	abortGrace = time.Second
 
-// StartDraining is the first step of a graceful shutdown. The router continues to serve requests, but reports that it is
-// not ready, closes each connection after a response, and responds to requests that arrive from now on before the given
-// time has passed.
-func (p *Proxy) StartDraining(within time.Duration) {
-	p.loop.Do(func() {
-		p.server.StartDraining(p.loop.Now() + eventloop.FromDuration(within))
-		p.log.Info("draining", "unanswered", p.server.Open(), "client_connections", p.server.Connections(), "respond_within", within)
-	})
-}
+	// logQuantile is the quantile of the event loop's delays and run times that is logged.
+	logQuantile = 0.99
+)
 
-// Shutdown is the second step of a graceful shutdown. It accepts no new connections and rejects new requests. It waits
-// until all requests in flight have been responded to and their clients have had time to read the responses. The wait ends
-// early when the given time has passed or abort is closed. Shutdown then closes the router and returns the number of
-// requests that got no response.
-func (p *Proxy) Shutdown(within time.Duration, abort <-chan struct{}) (left int) {
-	p.engine.CloseListeners()
-	timeout := time.After(within)
+// Shutdown shuts the router down gracefully and closes it. killAfter is when the process may be killed, counted from the
+// shutdown signal. The steps, whose times policy.ShutdownSchedule defines, are:
+//
+//   - Until ServeUntil, the router serves requests, on new connections too, but reports that it is not ready and closes
+//     each connection after a response.
+//   - From then on it closes idle connections and rejects new requests.
+//   - At LastResponse it gives up the requests that have no response yet and refuses those that have not arrived completely.
+//   - It returns when every request was responded to, and every client has read its responses or had the time to.
+//
+// When abort is closed, the router does the third step at once, and returns at the latest abortGrace later. Shutdown returns
+// the number of requests that got no response, which is 0 unless the router is faulty.
+func (p *Proxy) Shutdown(killAfter time.Duration, abort <-chan struct{}) (unanswered int) {
+	startedAt := time.Now()
+	schedule := p.StartDraining(killAfter)
+	aborted := false
+	select {
+	case <-abort:
+		aborted = true
+	case <-time.After(eventloop.Duration(schedule.ServeUntil)):
+	}
 	p.loop.Do(p.server.Close)
-	for aborted := false; !aborted; {
+	if aborted || !p.awaitDrained(nil, abort) {
+		p.loop.Do(p.abortShutdown)
+		p.awaitDrained(time.After(abortGrace), nil)
+	}
+	p.loop.Do(func() { unanswered = p.failUnanswered() })
+	p.logClosed(killAfter - time.Since(startedAt))
+	p.Close()
+	return unanswered
+}
+
+// StartDraining is the first step of a shutdown of a process that may be killed after killAfter, which Shutdown takes if it
+// was not taken before. It returns the schedule of the shutdown.
+func (p *Proxy) StartDraining(killAfter time.Duration) policy.ShutdownSchedule {
+	schedule := policy.NewShutdownSchedule(eventloop.FromDuration(killAfter))
+	p.loop.Do(func() { p.startDraining(schedule) })
+	return schedule
+}
+
+// startDraining has the server drain, and tells the router when it has to give up requests.
+func (p *Proxy) startDraining(schedule policy.ShutdownSchedule) {
+	now := p.loop.Now()
+	p.lastResponseAt = now + schedule.LastResponse
+	p.log.Info("draining", "unanswered", p.server.Open(), "client_connections", p.server.Connections(),
+		"serve_until", eventloop.Duration(schedule.ServeUntil), "last_response", eventloop.Duration(schedule.LastResponse),
+		"kill", eventloop.Duration(schedule.Kill))
+	p.server.StartDraining(p.lastResponseAt)
+	p.loop.After(schedule.LastResponse, p.server.RefuseArriving)
+	p.handleEvent(router.ShutdownStarted{KillAfter: schedule.Kill})
+}
+
+// abortShutdown gives up all requests at once.
+func (p *Proxy) abortShutdown() {
+	p.log.Warn("shutdown aborted", "unanswered", p.server.Open())
+	p.lastResponseAt = p.loop.Now()
+	p.server.RefuseArriving()
+	p.handleEvent(router.ShutdownStarted{KillAfter: 0})
+}
+
+// awaitDrained waits until all client connections are closed and none can be accepted any more. It reports false if
+// timeout or abort ended the wait before.
+func (p *Proxy) awaitDrained(timeout <-chan time.Time, abort <-chan struct{}) bool {
+	for accepting := true; ; {
 		drained := false
-		if ok := p.loop.Do(func() { left, drained = p.server.Open(), p.server.Drained() }); !ok || drained {
-			break
+		if ok := p.loop.Do(func() { drained = p.server.Drained() }); !ok || drained && !accepting {
+			return true
+		}
+		if drained { // connections that were accepted until now are served before the router closes
+			p.engine.StopAccepting()
+			accepting = false
+			continue
 		}
 		select {
 		case <-abort:
-			aborted = true
+			return false
 		case <-timeout:
-			aborted = true
+			return false
 		case <-time.After(drainPollInterval):
 		}
 	}
-	p.loop.Do(p.logUnanswered)
-	c, late := p.Counts(), p.LateResponses()
-	p.Close()
-	stats := p.LoopStats()
-	p.log.Info("closed", "cut_off", left, "refused_while_closing", p.ShutdownCounts().RefusedWhileClosing,
+}
+
+// logClosed logs what the router did and what it leaves behind. killIn is the time that is left until the process may be
+// killed.
+func (p *Proxy) logClosed(killIn time.Duration) {
+	c, s, late, stats := p.Counts(), p.ShutdownCounts(), p.LateResponses(), p.LoopStats()
+	_, clients, upstreams, _ := p.InFlight()
+	p.log.Info("closed", "cut_off", s.CutOffByExit, "given_up", s.GivenUp, "refused_while_closing", s.RefusedWhileClosing,
+		"time_left", killIn.Round(time.Millisecond), "client_connections", clients, "host_connections", upstreams,
 		"received", c.Received, "succeeded", c.Succeeded, "rejected", c.Rejected,
 		"failed", c.Failed, "clients_gone", c.ClientsGone, "late", late, "queue_delay_p99", stats.QueueDelay.Quantile(logQuantile),
 		"queue_delay_max", stats.QueueDelay.Longest, "timer_delay_p99", stats.TimerDelay.Quantile(logQuantile),
 		"timer_delay_max", stats.TimerDelay.Longest, "work_p99", stats.RunTime.Quantile(logQuantile), "work_max", stats.RunTime.Longest)
-	return left
 }
 
 // Close closes the router immediately and waits for its goroutines. Requests in flight get no response.
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -26,7 +26,7 @@
 	require.NoError(t, err)
 }
 
-func TestProxy_ShutdownReturnsNumberOfUnansweredRequestsWhenAborted(t *testing.T) {
+func TestProxy_AbortedShutdownRespondsToRequestsInFlight(t *testing.T) {
 	h := startHost(t, 1, 1, func(x exchange) bool { time.Sleep(3 * time.Second); return false })
 	r := newTestbench(t, h)
 	c := r.dial()
@@ -34,6 +34,13 @@
 	r.eventually(func() bool { return h.requests.Load() >= 1 })
 	abort := make(chan struct{})
 	close(abort)
-	require.Equal(t, 1, r.router.Shutdown(5*time.Second, abort))
+	started := time.Now()
+	require.Zero(t, r.router.Shutdown(5*time.Second, abort))
+	require.Less(t, time.Since(started), abortGrace+time.Second)
+	counts := r.router.ShutdownCounts()
 	r.router = nil
+	_, outcome, _ := c.response()
+	require.Equal(t, "scrapped", outcome)
+	require.EqualValues(t, 1, counts.GivenUp)
+	require.Zero(t, counts.CutOffByExit)
 }
--- a/internal/proxy/unanswered.go
+++ b/internal/proxy/unanswered.go
@@ -4,11 +4,13 @@
 	"slices"
 
 	"dapplefront/internal/eventloop"
+	"dapplefront/router"
 )
 
 // ShutdownCounts contains the numbers of requests that a shutdown kept from their regular end.
 type ShutdownCounts struct {
-	CutOffByExit        uint64 // had no response when the router was closed
+	GivenUp             uint64 // had no response when the time for the last responses came
+	CutOffByExit        uint64 // had no response even when the router was closed
 	RefusedWhileClosing uint64 // arrived when the router no longer served
 }
 
@@ -24,12 +26,25 @@
 	return c
 }
 
-// logUnanswered logs every request that has no response when the router is closed, the oldest first, and counts them.
-func (p *Proxy) logUnanswered() {
-	for _, r := range p.unanswered() {
+// countGivenUp counts and logs a request that is given up because the router shuts down.
+func (p *Proxy) countGivenUp(r *request, a router.Action) {
+	if p.lastResponseAt == 0 || p.loop.Now() < p.lastResponseAt {
+		return
+	}
+	p.shutdown.GivenUp++
+	p.log.Warn("request given up at shutdown", append(p.describe(r), "rejected", a.Kind == router.Reject)...)
+}
+
+// failUnanswered fails every request that has no response when the router is about to be closed, the oldest first. It
+// counts and logs them, and returns their number.
+func (p *Proxy) failUnanswered() int {
+	requests := p.unanswered()
+	for _, r := range requests {
 		p.shutdown.CutOffByExit++
 		p.log.Error("request cut off by the exit", p.describe(r)...)
+		p.respondFinal(r, router.Action{Kind: router.Fail, RequestID: r.id})
 	}
+	return len(requests)
 }
 
 // unanswered returns the requests that are waiting for their response, in the order of their arrival.
--- a/internal/routerconfig/config.go
+++ b/internal/routerconfig/config.go
@@ -19,7 +19,7 @@
 	Name          string
 	Listen        string
 	EndpointCache string        // the file that stores the last endpoint list; empty to disable the cache
-	DrainTimeout  time.Duration // how long the requests in flight at a shutdown signal may take to complete
+	KillAfter     time.Duration // when the process may be killed at the earliest, counted from the shutdown signal
 	MaxBodyBytes  int           // limit of the total size of all bodies in memory at one time
 	Router        router.Config
 	Downstream    downstream.Config
--- a/internal/routerconfig/sections.go
+++ b/internal/routerconfig/sections.go
@@ -49,7 +49,7 @@
 
 func (c *Config) readRouter(p inifile.Section) {
 	c.Name, c.Listen, c.EndpointCache = p.Text("name", inifile.Required), p.Address("listen", "127.0.0.1:8080"), p.Text("last-list", "")
-	c.DrainTimeout = p.Duration("drain", "10s")
+	c.KillAfter = p.Duration("drain", "10s")
 	c.Router = router.Config{Seed: p.Seed("seed", "1"), Routers: p.Int("routers", "1", 1, 100_000),
 		Rank: p.Int("rank", "0", 0, 99_999), Zone: p.Text("location", inifile.Required)}
 	if c.Router.Rank >= c.Router.Routers {
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -18,6 +18,7 @@
 	ctx        context.Context // canceled when the engine is stopped
 	stop       context.CancelFunc
 	goroutines sync.WaitGroup
+	acceptors  sync.WaitGroup // the goroutines that accept connections
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -37,7 +38,7 @@
 	e.mu.Lock()
 	e.listeners = append(e.listeners, l)
 	e.mu.Unlock()
-	e.goroutines.Go(func() {
+	e.acceptors.Go(func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
@@ -120,21 +121,23 @@
 	e.mu.Unlock()
 }
 
-// CloseListeners closes the listeners. Open connections are not affected.
-func (e *Engine) CloseListeners() {
+// StopAccepting closes the listeners. Open connections are not affected. When it returns, every connection that was accepted
+// has its session.
+func (e *Engine) StopAccepting() {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	for _, l := range e.listeners {
 		_ = l.Close()
 	}
 	e.listeners = nil
+	e.mu.Unlock()
+	e.acceptors.Wait()
 }
 
 // Stop closes all listeners and connections immediately. It waits until Closed has returned for all sessions and all
 // goroutines have ended. It must not be called from a session.
 func (e *Engine) Stop() {
 	e.stop()
-	e.CloseListeners()
+	e.StopAccepting()
 	e.mu.Lock()
 	for c := range e.conns {
 		c.Close()
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -51,7 +51,7 @@
 func (r *Router) send(request *Request, host *Host, role attemptRole) {
 	class := request.Class
 	attempt := r.startAttempt(request, host, role)
-	timeout := request.arrivedAt + request.Timeout - r.now
+	timeout := r.deadline(request) - r.now
 	slowAfter := class.slowAfter()
 	attempt.shadowTimeout = min(timeout, Time(float64(max(slowAfter, class.LatencyObjective/3))/r.capacityFactor(host)))
 	switch {
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -22,6 +22,7 @@
 	gossip                [][]byte
 	gossipTo              []int
 	healthChecked         []*Host
+	unsentCanceled        []*Request
 	timers                []*Timer
 	timersDue             []Time
 }
@@ -52,6 +53,10 @@
 
 func (f *fakeFleet) CheckHealth(host *Host) { f.healthChecked = append(f.healthChecked, host) }
 
+func (f *fakeFleet) CancelUnsent(request *Request) {
+	f.unsentCanceled = append(f.unsentCanceled, request)
+}
+
 func (f *fakeFleet) Log(string) {}
 
 func (f *fakeFleet) host(id uint32, build int) EndpointUpdate {
--- a/policy/host_test.go
+++ b/policy/host_test.go
@@ -18,7 +18,8 @@
 
 func (e *discardEffects) SetTimer(Time, *Timer) {}
 
-func (e *discardEffects) WatchEndpoints() {}
+func (e *discardEffects) WatchEndpoints()       {}
+func (e *discardEffects) CancelUnsent(*Request) {}
 
 func (e *discardEffects) Vote(int, int, VoteChoice) {}
 
--- a/policy/request.go
+++ b/policy/request.go
@@ -72,6 +72,9 @@
 // Answered reports whether the request has its final response or its client has stopped waiting.
 func (r *Request) Answered() bool { return r.state == finished }
 
+// ArrivedAt returns when the request arrived.
+func (r *Request) ArrivedAt() Time { return r.arrivedAt }
+
 // requestState is what is known about the execution of a request:
 //
 //	state            event                    next             action
@@ -131,6 +134,9 @@
 	if tenant := request.Tenant; tenant != nil {
 		tenant.arrivals = appendBounded(tenant.arrivals, trafficEvent{at: now, class: request.Class}, keptTenantEvents)
 	}
+	if r.shutdown.started {
+		r.shutdown.requests = append(r.shutdown.requests, request)
+	}
 	r.handleRequestEvent(request, requestArrived)
 }
 
@@ -181,11 +187,11 @@
 func (r *Router) leaveAttemptsInFlight(*Request) {}
 
 // giveUp gives the final response at once: a rejection if repeating the request is known to be harmless, otherwise a
-// failure.
+// failure. At the end of a shutdown, a request that may have been executed fails in any case.
 func (r *Router) giveUp(request *Request) {
 	const overloadDuration = Second / 2 // most overloads end within this time
 	request.state = finished
-	if request.firstAmbiguous != nil && !request.Class.repeatsSafely() {
+	if request.firstAmbiguous != nil && (!request.Class.repeatsSafely() || r.isShutdownOver()) {
 		r.effects.Fail(request)
 		return
 	}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -21,7 +21,7 @@
 // out where hedging is not allowed, because the budget was checked when that attempt was sent with a shortened
 // timeout.
 func (r *Router) retry(request *Request) bool {
-	remaining := request.arrivedAt + request.Timeout - r.now
+	remaining := r.deadline(request) - r.now
 	last := request.Attempts[len(request.Attempts)-1]
 	budgeted := last.role == shadowFirstAttempt || last.outcome == TimedOut && !r.limits.AllowHedging
 	if len(request.Attempts) >= r.limits.MaxAttempts || remaining <= request.Class.usualLatency/2 ||
--- a/policy/router.go
+++ b/policy/router.go
@@ -24,6 +24,8 @@
 	Log(text string)
 	// Gossip sends a message to the router with the rank peer, or to all peers if peer is Broadcast.
 	Gossip(peer int, body []byte)
+	// CancelUnsent ends the attempts of a request that have not been sent, as NotSent or ConnectFailed.
+	CancelUnsent(request *Request)
 	// CheckHealth starts a health check of a host. Its result is passed to HealthChecked.
 	CheckHealth(host *Host)
 }
@@ -61,6 +63,7 @@
 	analysis  analysisState
 	surge     latencySurge
 	vote      voteRecord
+	shutdown  shutdownState
 }
 
 // NewRouter returns a router that knows only its configuration: no hosts and no release. It sets the timer of the regular
--- a/policy/timer.go
+++ b/policy/timer.go
@@ -5,16 +5,19 @@
 const reviewInterval = Second / 5
 
 // Timer is a timer that the router set through Effects.SetTimer: for the regular review, for a poll of the endpoint
-// list or to check whether an attempt has become slow.
+// list, to check whether an attempt has become slow or for a step of a shutdown.
 type Timer struct {
-	attempt *Attempt // attempt to check; nil for the other kinds
-	polls   bool     // whether the timer is for a poll of the endpoint list
+	attempt  *Attempt // attempt to check; nil for the other kinds
+	polls    bool     // whether the timer is for a poll of the endpoint list
+	shutdown shutdownStep
 }
 
 // TimerFired handles a timer whose delay has passed. Each timer fires once.
 func (r *Router) TimerFired(now Time, timer *Timer) {
 	r.now = now
 	switch {
+	case timer.shutdown != noShutdownStep:
+		r.shutdownTimerFired(timer.shutdown)
 	case timer.polls:
 		r.discovery.lastPollAt = now
 		r.effects.WatchEndpoints()
--- a/record/describe.go
+++ b/record/describe.go
@@ -33,6 +33,8 @@
 		return "endpoint discovery failed"
 	case router.ReleaseChanged:
 		return fmt.Sprintf("release status received: build %d, stage %d, phase %d, exposure cap %.3g", e.Status.Build, e.Status.Stage, e.Status.Phase, e.Status.ExposureCap)
+	case router.ShutdownStarted:
+		return fmt.Sprintf("shutdown started, the process may be killed after %.1f ms", milliseconds(e.KillAfter))
 	case router.TimerFired:
 		return fmt.Sprintf("timer %d fired", e.Timer)
 	case nil:
@@ -52,6 +54,8 @@
 		return fmt.Sprintf("send attempt %d of request %s to host %d, timeout %.1f ms%s", a.Attempt, a.RequestID, a.Host, milliseconds(a.Duration), kind)
 	case router.Reject:
 		return fmt.Sprintf("reject request %s", a.RequestID)
+	case router.CancelUnsent:
+		return fmt.Sprintf("end the attempts of request %s that are not sent", a.RequestID)
 	case router.Fail:
 		return fmt.Sprintf("fail request %s", a.RequestID)
 	case router.SetTimer:
--- a/record/entry.go
+++ b/record/entry.go
@@ -37,6 +37,7 @@
 	entryConfigChanged        = 16
 	entryGossipReceived       = 17
 	entryHealthChecked        = 18
+	entryShutdownStarted      = 19
 )
 
 // hashFunc returns the hash that is stored instead of an idempotency key or a tenant's name.
@@ -117,6 +118,8 @@
 		b.message(entryGossipReceived, func(b *encoder) { appendGossipReceived(b, e) })
 	case router.HealthChecked:
 		b.message(entryHealthChecked, func(b *encoder) { appendHealthChecked(b, e) })
+	case router.ShutdownStarted:
+		b.message(entryShutdownStarted, func(b *encoder) { b.int(shutdownKillAfter, int64(e.KillAfter)) })
 	case router.PlanOffered:
 		b.message(entryPlanOffered, func(b *encoder) { appendPlanOffered(b, e) })
 	default:
@@ -156,6 +159,8 @@
 		return decodeHealthChecked(f.bytes)
 	case entryPlanOffered:
 		return decodePlanOffered(f.bytes)
+	case entryShutdownStarted:
+		return decodeShutdownStarted(f.bytes)
 	}
 	return nil, nil
 }
--- a/router/actions.go
+++ b/router/actions.go
@@ -17,6 +17,7 @@
 	SendGossip                        // send Body to the router with rank Peer, or to all routers if Peer is policy.Broadcast
 	CheckHealth                       // run a health check of Host
 	AcknowledgePlan                   // report that the plan version PlanVersion is applied or, if Text is not empty, rejected for the reason Text
+	CancelUnsent                      // end the attempts of RequestID of which no byte has been sent; report each by an AttemptEnded event
 )
 
 // Action is something that the embedding program must carry out for a router. Kind determines which fields are used.
@@ -77,4 +78,8 @@
 	e.add(Action{Kind: SendGossip, Peer: peer, Body: string(body)})
 }
 
+func (e *effects) CancelUnsent(r *policy.Request) {
+	e.add(Action{Kind: CancelUnsent, RequestID: e.requestIDs[r]})
+}
+
 func (e *effects) CheckHealth(h *policy.Host) { e.add(Action{Kind: CheckHealth, Host: h.ID}) }
--- a/router/events.go
+++ b/router/events.go
@@ -91,6 +91,10 @@
 // PlanOffered is a version of a weight plan. An AcknowledgePlan action reports whether it is applied or rejected.
 type PlanOffered struct{ Offer plan.Offer }
 
+// ShutdownStarted reports that the router shuts down and that its process may be killed once KillAfter has passed. Every
+// request gets its final response before.
+type ShutdownStarted struct{ KillAfter policy.Time }
+
 func (RequestArrived) event()       {}
 func (AttemptEnded) event()         {}
 func (ResponseStarted) event()      {}
@@ -105,6 +109,7 @@
 func (GossipReceived) event()       {}
 func (ConfigChanged) event()        {}
 func (PlanOffered) event()          {}
+func (ShutdownStarted) event()      {}
 
 // Host is one entry of the endpoint list. ID must be the same at all routers, because gossip identifies hosts by it.
 type Host struct {
--- a/router/router.go
+++ b/router/router.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 
 	"dapplefront/plan"
 	"dapplefront/policy"
@@ -113,6 +115,8 @@
 		return r.statsReported(now, e)
 	case ComplaintReceived:
 		return r.complaintReceived(now, e)
+	case ShutdownStarted:
+		r.policy.ShutdownStarted(now, e.KillAfter, r.unanswered())
 	case TimerFired:
 		if t := r.timers[e.Timer]; t != nil {
 			delete(r.timers, e.Timer)
@@ -169,6 +173,19 @@
 	}
 }
 
+// unanswered returns the requests that have no final response, in the order of their arrival and then of their IDs.
+func (r *Router) unanswered() (requests []*policy.Request) {
+	for _, q := range r.requests {
+		if !q.policy.Answered() {
+			requests = append(requests, q.policy)
+		}
+	}
+	slices.SortFunc(requests, func(a, b *policy.Request) int {
+		return cmp.Or(cmp.Compare(a.ArrivedAt(), b.ArrivedAt()), cmp.Compare(r.requestIDs[a], r.requestIDs[b]))
+	})
+	return requests
+}
+
 // forget removes a request if it has its final response and no attempts in flight, so that no event can concern it.
 func (r *Router) forget(id string, q *request) {
 	if q.policy.Answered() && q.attemptsInFlight == 0 {
