A listener survives every error of accept that concerns one connection or a moment

Callers of a router whose accept(2) failed once with ENETDOWN, EPROTO, EHOSTUNREACH, EPERM, ETIMEDOUT or the like could not connect any more: the goroutine that accepts ended without a trace, while the kernel went on completing connections that nobody served.

Cause: only five errors counted as passing; accept(2) lists more that are the network's and says to retry after them. Change: accepting ends when the listener is closed and not before; the first of consecutive failures is logged.

--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -42,7 +42,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	h.address = l.Addr().String()
-	engine.Accept(l, h.server.Accept)
+	engine.Accept(l, h.server.Accept, func(error) {})
 	t.Cleanup(func() { h.loop.Close(); engine.Stop() })
 	return h
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -145,7 +145,7 @@
 	}
 	p.loop.Do(p.reportOutcomes)
 	p.loop.Do(func() { p.server.SetReady(protocols.Ready) })
-	p.engine.Accept(listener, p.server.Accept)
+	p.engine.Accept(listener, p.server.Accept, func(err error) { p.log.Warn("accepting a connection failed; trying again", "error", err) })
 	p.log.Info("listening", "address", p.address.String())
 	return p, nil
 }
--- /dev/null
+++ b/internal/transport/accept_test.go
@@ -0,0 +1,70 @@
+package transport
+
+import (
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// failingListener is a listener whose Accept first returns the given errors.
+type failingListener struct {
+	*net.TCPListener
+	mu     sync.Mutex
+	errors []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	if len(l.errors) > 0 {
+		err := l.errors[0]
+		l.errors = l.errors[1:]
+		l.mu.Unlock()
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+	}
+	l.mu.Unlock()
+	return l.TCPListener.Accept()
+}
+
+func listen(t *testing.T, errors ...error) *failingListener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return &failingListener{TCPListener: l.(*net.TCPListener), errors: errors}
+}
+
+// Guards against a listener that accepts nothing more after an error of accept(2) that concerns one connection or a moment.
+func TestEngine_AcceptsAfterTransientErrors(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR,
+		syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.EHOSTUNREACH,
+		syscall.ENONET, syscall.EOPNOTSUPP, syscall.ETIMEDOUT} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			e, l, s := Start(), listen(t, errno, errno), newRecordingSession()
+			t.Cleanup(e.Stop)
+			failures := make(chan error, 10)
+			e.Accept(l, func(*Conn) Session { return s }, func(err error) { failures <- err })
+			peer, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = peer.Close() }()
+			_, _ = peer.Write([]byte("hi"))
+			require.Equal(t, "hi", string(receive(t, s.data)))
+			require.ErrorIs(t, receive(t, failures), errno)
+			require.Empty(t, failures, "consecutive failures are reported once")
+		})
+	}
+}
+
+// receive returns the next value of a channel, which must arrive within seconds.
+func receive[T any](t *testing.T, from <-chan T) (value T) {
+	t.Helper()
+	select {
+	case value = <-from:
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing arrived within 10 s")
+	}
+	return value
+}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -5,14 +5,9 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
-// acceptPause is the pause before the next accept when the process is out of file descriptors or memory, so that some
-// connections can close in the meantime.
-const acceptPause = 10 * time.Millisecond
-
 // Engine manages the listeners and connections of one router and the goroutines that serve them.
 type Engine struct {
 	ctx        context.Context // canceled when the engine is stopped
@@ -21,7 +16,7 @@
 	acceptors  sync.WaitGroup // the goroutines that accept connections
 
 	mu        sync.Mutex
-	listeners []net.Listener
+	listeners []listener
 	conns     map[*Conn]bool
 }
 
@@ -32,40 +27,6 @@
 	return e
 }
 
-// Accept accepts connections from a listener in the background and calls open for the session of each. If open returns
-// nil, Accept closes the connection.
-func (e *Engine) Accept(l net.Listener, open func(*Conn) Session) {
-	e.mu.Lock()
-	e.listeners = append(e.listeners, l)
-	e.mu.Unlock()
-	e.acceptors.Go(func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				if isTemporary(err) {
-					time.Sleep(acceptPause)
-					continue
-				}
-				return
-			}
-			if _, err := e.add(conn, open); err != nil {
-				_ = conn.Close()
-			}
-		}
-	})
-}
-
-// isTemporary reports whether a later accept may succeed after an error.
-func isTemporary(err error) bool {
-	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS,
-		syscall.ENOMEM} {
-		if errors.Is(err, errno) {
-			return true
-		}
-	}
-	return false
-}
-
 // add starts the goroutine that serves a connection. After an error the caller must close the connection.
 func (e *Engine) add(conn net.Conn, open func(*Conn) Session) (*Conn, error) {
 	tcp, ok := conn.(*net.TCPConn)
@@ -121,18 +82,6 @@
 	e.mu.Unlock()
 }
 
-// StopAccepting closes the listeners. Open connections are not affected. When it returns, every connection that was accepted
-// has its session.
-func (e *Engine) StopAccepting() {
-	e.mu.Lock()
-	for _, l := range e.listeners {
-		_ = l.Close()
-	}
-	e.listeners = nil
-	e.mu.Unlock()
-	e.acceptors.Wait()
-}
-
 // Stop closes all listeners and connections immediately. It waits until Closed has returned for all sessions and all
 // goroutines have ended. It must not be called from a session.
 func (e *Engine) Stop() {
