Connections in a closing listener's backlog are served, not reset

Change: StopAccepting first accepts what waits in the backlog, without waiting, and then closes the listener. Evidence: TestEngine_StopAcceptingServesBacklog failed without the change (nothing arrived).

--- a/internal/transport/accept_test.go
+++ b/internal/transport/accept_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -58,6 +59,32 @@
 	}
 }
 
+// Guards against a reset of connections that the kernel has completed but the router has not accepted when it stops accepting.
+func TestEngine_StopAcceptingServesBacklog(t *testing.T) {
+	e := Start()
+	t.Cleanup(e.Stop)
+	sessions := make(chan *recordingSession, 3)
+	l := listen(t, slices.Repeat([]error{syscall.ENFILE}, 1000)...)
+	e.Accept(l, func(*Conn) Session {
+		s := newRecordingSession()
+		sessions <- s
+		return s
+	}, func(error) {})
+	for range 3 {
+		peer, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = peer.Close() }()
+		_, _ = peer.Write([]byte("hi"))
+	}
+	require.Empty(t, sessions, "the listener accepts nothing yet")
+	e.StopAccepting()
+	for range 3 {
+		require.Equal(t, "hi", string(receive(t, receive(t, sessions).data)))
+	}
+	_, err := net.Dial("tcp", l.Addr().String())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
+
 // receive returns the next value of a channel, which must arrive within seconds.
 func receive[T any](t *testing.T, from <-chan T) (value T) {
 	t.Helper()
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -16,7 +16,7 @@
 	acceptors  sync.WaitGroup // the goroutines that accept connections
 
 	mu        sync.Mutex
-	listeners []listener
+	listeners []*listener
 	conns     map[*Conn]bool
 }
 
