A step of the wall clock no longer closes connections whose response is being read

Change: the time is kept on the monotonic clock. Evidence: TestConn_PendingSinceDoesNotDependOnWallClock wants a time with a monotonic reading and failed before.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -16,6 +16,9 @@
 	readBufferSize = 16 << 10 // in bytes
 )
 
+// processStart has a monotonic clock reading, so that times relative to it don't change with the wall clock.
+var processStart = time.Now()
+
 // Conn is an open connection. Its methods are safe for concurrent use, and none of them waits for the peer.
 //
 // Each direction has its own state. When closed is set, both directions have ended. The tables show what Write and
@@ -38,7 +41,7 @@
 	closed  atomic.Bool
 
 	unsent      atomic.Int64 // bytes that are buffered until the peer reads
-	unsentSince atomic.Int64 // last write of buffered data, or the start of buffering, in ns since the Unix epoch; 0 while nothing is buffered
+	unsentSince atomic.Int64 // last write of buffered data, or the start of buffering, in ns since processStart; 0 while nothing is buffered
 
 	mu       sync.Mutex
 	writing  writeState
@@ -105,7 +108,7 @@
 	}
 	if rest := part[n:]; len(rest) > 0 {
 		if c.unsent.Add(int64(len(rest))) == int64(len(rest)) {
-			c.unsentSince.Store(time.Now().UnixNano())
+			c.unsentSince.Store(int64(time.Since(processStart)))
 		}
 		c.buffered = append(c.buffered, rest...)
 		if c.writing == writeIdle {
@@ -157,7 +160,7 @@
 				if c.unsent.Add(int64(-n)) == 0 {
 					c.unsentSince.Store(0)
 				} else {
-					c.unsentSince.Store(time.Now().UnixNano())
+					c.unsentSince.Store(int64(time.Since(processStart)))
 				}
 			}
 			if err != nil {
@@ -169,11 +172,12 @@
 }
 
 // Pending returns how many bytes wait for the peer to read, and since when: the time of the last write of buffered bytes
-// or, before the first one, the time when buffering began. The time is zero if no bytes wait.
+// or, before the first one, the time when buffering began. The time is zero if no bytes wait; otherwise it has a monotonic
+// clock reading.
 func (c *Conn) Pending() (bytes int, since time.Time) {
 	bytes = int(c.unsent.Load())
 	if at := c.unsentSince.Load(); bytes > 0 && at > 0 {
-		since = time.Unix(0, at)
+		since = processStart.Add(time.Duration(at))
 	}
 	return bytes, since
 }
