Requests and responses survive system calls that fail for a moment or transfer a part

Callers got no response, or waited for ever: a read interrupted by a signal (EINTR) went back to waiting for readiness that the edge-triggered poller had already reported; a read or write that failed with ENOBUFS or ENOMEM ended the connection or dropped the response; and after any other failed write the connection stayed open without its response.

The system calls of a connection are a seam that tests fill. Evidence: without the change TestConn_TransfersAllDataDespiteTransientErrors (three errors, at most 1,000 bytes a call) and TestConn_ClosesAfterFailedWrite failed.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -38,6 +38,7 @@
 	tcp     *net.TCPConn
 	raw     syscall.RawConn
 	session Session
+	calls   systemCalls
 	closed  atomic.Bool
 
 	unsent      atomic.Int64 // bytes that are buffered until the peer reads
@@ -90,6 +91,7 @@
 			nothingSent = false
 		}
 		if err != nil {
+			c.Close() // otherwise the session would wait for the end of a connection on which a part is missing
 			return nothingSent, err
 		}
 	}
@@ -122,20 +124,29 @@
 // writeOnce writes what the kernel accepts without waiting, and returns the number of bytes.
 func (c *Conn) writeOnce(part []byte) (n int, err error) {
 	rawErr := c.raw.Write(func(fd uintptr) bool {
-		for {
-			n, err = syscall.Write(int(fd), part)
-			if err != syscall.EINTR {
-				break
-			}
-		}
+		n, err = retryInterrupted(c.calls.write, fd, part)
 		return true
 	})
-	if n = max(0, n); err == syscall.EAGAIN {
+	if errors.Is(err, syscall.EAGAIN) || isShortOfMemory(err) {
 		err = nil
 	}
 	return n, errors.Join(rawErr, err)
 }
 
+// writeWaiting waits until the kernel accepts a part of the data, and returns the number of bytes.
+func (c *Conn) writeWaiting(part []byte) (n int, err error) {
+	for {
+		rawErr := c.raw.Write(func(fd uintptr) bool {
+			n, err = retryInterrupted(c.calls.write, fd, part)
+			return !errors.Is(err, syscall.EAGAIN)
+		})
+		if err = errors.Join(rawErr, err); !isShortOfMemory(err) {
+			return n, err
+		}
+		time.Sleep(memoryPause)
+	}
+}
+
 // flush writes the buffered data as the peer reads, and returns when nothing is buffered or the connection is closed.
 func (c *Conn) flush() {
 	for {
@@ -153,7 +164,7 @@
 		}
 		c.mu.Unlock()
 		for len(part) > 0 {
-			n, err := c.tcp.Write(part[:min(len(part), flushSize)])
+			n, err := c.writeWaiting(part[:min(len(part), flushSize)])
 			part = part[n:]
 			if n > 0 {
 				c.session.Wrote(n)
@@ -261,6 +272,10 @@
 		if buffer != nil {
 			readBuffers.Put(buffer)
 		}
+		if isShortOfMemory(err) {
+			time.Sleep(memoryPause)
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -283,7 +298,7 @@
 			n, err = 0, net.ErrClosed
 			return true
 		}
-		if n, err = syscall.Read(int(fd), buffer[:]); errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+		if n, err = retryInterrupted(c.calls.read, fd, buffer[:]); errors.Is(err, syscall.EAGAIN) {
 			readBuffers.Put(buffer)
 			buffer = nil
 			return false
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -14,6 +14,7 @@
 	stop       context.CancelFunc
 	goroutines sync.WaitGroup
 	acceptors  sync.WaitGroup // the goroutines that accept connections
+	calls      systemCalls
 
 	mu        sync.Mutex
 	listeners []*listener
@@ -22,7 +23,7 @@
 
 // Start returns a running engine, which Stop ends.
 func Start() *Engine {
-	e := &Engine{conns: map[*Conn]bool{}}
+	e := &Engine{conns: map[*Conn]bool{}, calls: defaultSystemCalls}
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	return e
 }
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{tcp: tcp, raw: raw}
+	c := &Conn{tcp: tcp, raw: raw, calls: e.calls}
 	if c.session = open(c); c.session == nil {
 		return nil, net.ErrClosed
 	}
