A shutdown fails requests that nothing has given up, instead of waiting for the kill

A request that the policy leaves undecided (a fault of the router) kept its connection open, so that the shutdown lasted until SIGKILL and the client got no response. Change: 10 ms after the time of the last responses every request without one fails, is counted (cut_off) and logged as an error with its ids, class, age and hosts.

--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -12,6 +12,9 @@
 	// drainPollInterval is the interval at which Shutdown checks whether all client connections are closed.
 	drainPollInterval = 10 * time.Millisecond
 
+	// giveUpDuration is the time after which all requests that the policy gives up at one moment have their responses.
+	giveUpDuration = policy.Second / 100
+
 	// abortGrace is how long Shutdown waits for clients to read their responses after it was aborted.
 	abortGrace = time.Second
 
@@ -29,8 +32,8 @@
 //   - It returns when every request was responded to, and every client has read its responses or had the time to.
 //
 // When abort is closed, the router does the third step at once, and returns at the latest abortGrace later. Shutdown returns
-// the number of requests that got no response, which is 0 unless the router is faulty.
-func (p *Proxy) Shutdown(killAfter time.Duration, abort <-chan struct{}) (unanswered int) {
+// the number of requests that the policy left without a response, which is 0 unless it is faulty. These requests fail.
+func (p *Proxy) Shutdown(killAfter time.Duration, abort <-chan struct{}) (undecided int) {
 	startedAt := time.Now()
 	schedule := p.StartDraining(killAfter)
 	aborted := false
@@ -44,10 +47,10 @@
 		p.loop.Do(p.abortShutdown)
 		p.awaitDrained(time.After(abortGrace), nil)
 	}
-	p.loop.Do(func() { unanswered = p.failUnanswered() })
+	p.loop.Do(p.failUnanswered)
 	p.logClosed(killAfter - time.Since(startedAt))
 	p.Close()
-	return unanswered
+	return int(p.shutdown.Undecided)
 }
 
 // StartDraining is the first step of a shutdown of a process that may be killed after killAfter, which Shutdown takes if it
@@ -67,6 +70,7 @@
 		"kill", eventloop.Duration(schedule.Kill))
 	p.server.StartDraining(p.lastResponseAt)
 	p.loop.After(schedule.LastResponse, p.server.RefuseArriving)
+	p.loop.After(schedule.LastResponse+giveUpDuration, p.failUnanswered)
 	p.handleEvent(router.ShutdownStarted{KillAfter: schedule.Kill})
 }
 
@@ -75,6 +79,7 @@
 	p.log.Warn("shutdown aborted", "unanswered", p.server.Open())
 	p.lastResponseAt = p.loop.Now()
 	p.server.RefuseArriving()
+	p.loop.After(giveUpDuration, p.failUnanswered)
 	p.handleEvent(router.ShutdownStarted{KillAfter: 0})
 }
 
@@ -106,7 +111,7 @@
 func (p *Proxy) logClosed(killIn time.Duration) {
 	c, s, late, stats := p.Counts(), p.ShutdownCounts(), p.LateResponses(), p.LoopStats()
 	_, clients, upstreams, _ := p.InFlight()
-	p.log.Info("closed", "cut_off", s.CutOffByExit, "given_up", s.GivenUp, "refused_while_closing", s.RefusedWhileClosing,
+	p.log.Info("closed", "cut_off", s.Undecided, "given_up", s.GivenUp, "refused_while_closing", s.RefusedWhileClosing,
 		"time_left", killIn.Round(time.Millisecond), "client_connections", clients, "host_connections", upstreams,
 		"received", c.Received, "succeeded", c.Succeeded, "rejected", c.Rejected,
 		"failed", c.Failed, "clients_gone", c.ClientsGone, "late", late, "queue_delay_p99", stats.QueueDelay.Quantile(logQuantile),
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"net"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"dapplefront/internal/eds"
+	"dapplefront/policy"
+	"dapplefront/router"
 )
 
 func TestProxy_ShutdownRespondsToRequestsInFlightAndClosesConnections(t *testing.T) {
@@ -42,5 +47,30 @@
 	_, outcome, _ := c.response()
 	require.Equal(t, "scrapped", outcome)
 	require.EqualValues(t, 1, counts.GivenUp)
-	require.Zero(t, counts.CutOffByExit)
+	require.Zero(t, counts.Undecided)
+}
+
+// withoutDecisions is a fault: the policy never gives up a request.
+type withoutDecisions struct{}
+
+func (withoutDecisions) Actions(_ policy.Time, _ router.Event, actions []router.Action, _ map[uint32]eds.Host) []router.Action {
+	return slices.DeleteFunc(slices.Clone(actions), func(a router.Action) bool { return a.Kind == router.Fail || a.Kind == router.Reject })
+}
+
+func (withoutDecisions) WithholdsResponse(string) bool { return false }
+
+// Guards against an exit, or an endless shutdown, with requests that nothing gives up.
+func TestProxy_ShutdownFailsRequestsWithoutDecision(t *testing.T) {
+	h := startHost(t, 1, 1, func(x exchange) bool { time.Sleep(3 * time.Second); return false })
+	r := newTestbench(t, h)
+	r.router.loop.Do(func() { r.router.faults = withoutDecisions{} })
+	c := r.dial()
+	c.post("/quote", "")
+	r.eventually(func() bool { return h.requests.Load() >= 1 })
+	started := time.Now()
+	require.Equal(t, 1, r.router.Shutdown(time.Second, nil))
+	require.Less(t, time.Since(started), 3*time.Second)
+	r.router = nil
+	_, outcome, _ := c.response()
+	require.Equal(t, "scrapped", outcome)
 }
--- a/internal/proxy/unanswered.go
+++ b/internal/proxy/unanswered.go
@@ -10,7 +10,7 @@
 // ShutdownCounts contains the numbers of requests that a shutdown kept from their regular end.
 type ShutdownCounts struct {
 	GivenUp             uint64 // had no response when the time for the last responses came
-	CutOffByExit        uint64 // had no response even when the router was closed
+	Undecided           uint64 // failed because the policy had not decided on them: a fault of the router
 	RefusedWhileClosing uint64 // arrived when the router no longer served
 }
 
@@ -35,16 +35,13 @@
 	p.log.Warn("request given up at shutdown", append(p.describe(r), "rejected", a.Kind == router.Reject)...)
 }
 
-// failUnanswered fails every request that has no response when the router is about to be closed, the oldest first. It
-// counts and logs them, and returns their number.
-func (p *Proxy) failUnanswered() int {
-	requests := p.unanswered()
-	for _, r := range requests {
-		p.shutdown.CutOffByExit++
-		p.log.Error("request cut off by the exit", p.describe(r)...)
+// failUnanswered fails every request that has no response after the policy gave up the requests, the oldest first.
+func (p *Proxy) failUnanswered() {
+	for _, r := range p.unanswered() {
+		p.shutdown.Undecided++
+		p.log.Error("request without a decision at shutdown", p.describe(r)...)
 		p.respondFinal(r, router.Action{Kind: router.Fail, RequestID: r.id})
 	}
-	return len(requests)
 }
 
 // unanswered returns the requests that are waiting for their response, in the order of their arrival.
