dapplefront router: a second SIGTERM no longer ends the requests in flight

A supervisor that repeats SIGTERM had the router cut off every request in flight; the platform's routers ignore repeats. Change: only an interrupt shortens the shutdown, and it has all requests responded to. Evidence: TestRouter_ServesRequestsAfterRepeatedSIGTERM runs the program as a process and got 502 for two requests before, 200 for both now.

--- a/cmd/dapplefront/router.go
+++ b/cmd/dapplefront/router.go
@@ -17,8 +17,9 @@
 		Use:   "router FILE",
 		Short: "Run a router with settings from a file",
 		Args:  cobra.ExactArgs(1),
-		Long: "Run a router with settings from a file (docs/operate-router.md). SIGTERM or an interrupt drains it: no new requests\n" +
-			"are accepted, those in flight get their responses, then it exits with 0. A second signal makes it exit at once with 1.\n" +
+		Long: "Run a router with settings from a file (docs/operate-router.md). SIGTERM or an interrupt drains it: requests get their\n" +
+			"responses before the time of [router] drain, then it exits with 0. A second interrupt makes it respond to all requests at\n" +
+			"once and exit; a second SIGTERM changes nothing.\n" +
 			"SIGHUP reloads the file; a mistake, or a change that a running router can't make, changes nothing (docs/migration.md).",
 		RunE: func(_ *cobra.Command, args []string) error {
 			log, err := options.logger("info")
@@ -53,9 +54,7 @@
 		}
 	}
 	log.Info("shutting down", "signal", received.String(), "kill_after", config.KillAfter)
-	abort := make(chan struct{})
-	go func() { <-terminate; close(abort) }()
-	if unanswered := p.Shutdown(config.KillAfter, abort); unanswered > 0 {
+	if undecided := p.Shutdown(config.KillAfter, interrupted(terminate)); undecided > 0 {
 		return exitCode(exitFailed)
 	}
 	return nil
--- a/cmd/dapplefront/signals.go
+++ b/cmd/dapplefront/signals.go
@@ -23,3 +23,18 @@
 	defer stop()
 	<-ctx.Done()
 }
+
+// interrupted returns a channel that is closed by an interrupt. It ignores other signals, because a supervisor may send
+// SIGTERM more than once.
+func interrupted(signals <-chan os.Signal) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		for received := range signals {
+			if received == os.Interrupt {
+				close(done)
+				return
+			}
+		}
+	}()
+	return done
+}
