An agent that stops gives its builds their drain time, also where a manifest can't be read

Change: each build gets the time of its manifest, or else the 10 s that a build gets that asks for nothing else; builds stop side by side; an unreadable manifest is logged. Evidence: both cases of TestAgent_StopGivesBuildsTheirDrainTime failed before (a build that needs 1.5 s was killed).

--- a/internal/agentd/agent.go
+++ b/internal/agentd/agent.go
@@ -146,15 +146,19 @@
 	a.closeFiles()
 }
 
-// Stop shuts the agent down and stops the processes of all its builds.
+// Stop shuts the agent down and stops the processes of all its builds, each within the drain time of its manifest.
 func (a *Agent) Stop() {
 	a.cancelAll()
 	a.goroutines.Wait()
+	var builds sync.WaitGroup
 	for _, i := range a.machine.State.Instances() {
-		if err := a.runner.Stop(i.Digest, time.Second); err != nil {
-			a.log.Warn("build not stopped", "digest", i.Digest, "error", err)
-		}
+		builds.Go(func() {
+			if err := a.runner.Stop(i.Digest, a.drainTimeout(i.Digest)); err != nil {
+				a.log.Warn("build not stopped", "digest", i.Digest, "error", err)
+			}
+		})
 	}
+	builds.Wait()
 	a.closeFiles()
 }
 
--- a/internal/agentd/lifecycle_test.go
+++ b/internal/agentd/lifecycle_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -128,3 +129,26 @@
 	_, err := Start(h.config(), slog.New(slog.DiscardHandler))
 	require.ErrorIs(t, err, artifact.ErrLocked)
 }
+
+// Guards against builds that are killed with requests in flight because their agent stops, or can't read the manifest.
+func TestAgent_StopGivesBuildsTheirDrainTime(t *testing.T) {
+	for _, name := range []string{"manifest is readable", "manifest is not readable"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			a := h.start()
+			m, files := h.newBuild(1, "slow")
+			m.Drain.Within = build.Duration(2 * slowStop)
+			raw, err := m.Bytes()
+			require.NoError(t, err)
+			digest := h.publish(raw, files, 0, 1)
+			h.order(digest, "release")
+			h.await(digest, agent.Serving)
+			if name == "manifest is not readable" {
+				require.NoError(t, os.Remove(a.manifestFile(digest)))
+			}
+			a.Stop()
+			require.FileExists(t, a.runner.ReadyFile(digest)+stoppedSuffix)
+		})
+	}
+}
--- a/internal/agentd/main_test.go
+++ b/internal/agentd/main_test.go
@@ -30,6 +30,11 @@
 	}
 }
 
+const (
+	slowStop      = 1500 * time.Millisecond // how long a slow build takes to stop
+	stoppedSuffix = ".stopped"              // of the file that a slow build writes when it has stopped by itself
+)
+
 // serveBuild is the main function of a build's process. Its specification is VERSION,BEHAVIOR,START_LISTENER.
 func serveBuild(specification string) {
 	parts := strings.Split(specification, ",")
@@ -45,6 +50,15 @@
 		time.Sleep(time.Hour)
 	case "stubborn":
 		signal.Ignore(syscall.SIGTERM)
+	case "slow": // takes a while to finish its requests
+		terminate := make(chan os.Signal, 1)
+		signal.Notify(terminate, syscall.SIGTERM)
+		go func() {
+			<-terminate
+			time.Sleep(slowStop)
+			_ = os.WriteFile(os.Getenv(process.ReadyVariable)+stoppedSuffix, nil, 0o600)
+			os.Exit(0)
+		}()
 	case "fork":
 		c := exec.Command("/bin/sh", "-c", "sleep 1000")
 		c.SysProcAttr = &syscall.SysProcAttr{Setsid: true} // leaves the process group
--- a/internal/agentd/process.go
+++ b/internal/agentd/process.go
@@ -20,7 +20,7 @@
 	readyPollInterval   = 10 * time.Millisecond
 	exitPollInterval    = 20 * time.Millisecond // for processes that an earlier agent started
 	healthCheckTimeout  = time.Second
-	defaultDrainTimeout = time.Second // time between SIGTERM and SIGKILL if the manifest can't be read
+	defaultDrainTimeout = 10 * time.Second // time between SIGTERM and SIGKILL if the manifest can't be read: that of a build that doesn't ask for another
 	trimInterval        = time.Second
 )
 
@@ -136,13 +136,19 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// drainTimeout returns how long a build may take to finish its requests after SIGTERM.
+func (a *Agent) drainTimeout(digest string) time.Duration {
+	m, err := a.readManifest(digest)
+	if err != nil {
+		a.log.Warn("manifest not readable; using the default drain time", "digest", digest, "drain", defaultDrainTimeout, "error", err)
+		return defaultDrainTimeout
+	}
+	return time.Duration(m.Drain.Within)
+}
+
 // stopBuild stops all processes of a build.
 func (a *Agent) stopBuild(digest string) {
-	within := defaultDrainTimeout
-	if m, err := a.readManifest(digest); err == nil {
-		within = time.Duration(m.Drain.Within)
-	}
-	if err := a.runner.Stop(digest, within); err != nil {
+	if err := a.runner.Stop(digest, a.drainTimeout(digest)); err != nil {
 		a.log.Error("build not stopped", "digest", digest, "error", err)
 		a.submit(agent.OperationFailed{Digest: digest, Reason: err.Error()})
 		return
