A stopping controller responds to the calls that it has read

Routers and clients of a controller that got SIGTERM lost the responses of calls in flight: the REST server closed every connection at once, also of a change that was being made, so that the caller could not know whether it counts. Change: watches end, calls in flight get their responses within 5 s, and what is cut off after that is logged as an error. Evidence: TestServer_CloseRespondsToCallsInFlight (a store that takes 0.3 s for a write) got no response before and 200 now; the package's tests pass.

--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -67,6 +67,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	peerTimeout       = 2 * time.Second // for requests to other controllers
+	closeTimeout      = 5 * time.Second // for calls in flight when the server is closed
 )
 
 // Server is the REST interface of one instance.
@@ -156,11 +157,13 @@
 // URL returns the URL at which clients reach the interface.
 func (s *Server) URL() string { return s.config.URL }
 
-// Close stops the REST interface and ends all watches.
+// Close stops the REST interface and ends all watches. Calls in flight get their responses if they end within closeTimeout.
 func (s *Server) Close() {
 	s.cancel()
-	if err := s.http.Close(); err != nil {
-		s.log.Warn("REST server did not close cleanly", "error", err)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.log.Error("calls in flight are cut off", "after", closeTimeout, "error", errors.Join(err, s.http.Close()))
 	}
 	s.mu.Lock()
 	s.closed = true
