A last response is written whole to a client that reads slowly

A client that read a large last response for more than a second lost its rest: the second in which a client may close its connection counted from the moment the response was handed over, not from when it was sent; and at the limit on connections a new one could take the place of a connection whose response was still being sent. During a shutdown every response is a connection's last. Change: the second starts when the last byte is sent (a client that stops reading still has the transfer timeout), and reclaim spares connections with unsent bytes. Evidence: both cases of TestServer_WritesWholeLastResponseToSlowReader were truncated before.

--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -33,7 +33,7 @@
 
 const (
 	sweepInterval = policy.Second / 5  // how often connections are checked for their timeouts
-	lingerTimeout = policy.Second      // how long a client may take to read the last response and close the connection
+	lingerTimeout = policy.Second      // how long a client may take to close the connection after the last response was sent
 	pipelineRetry = policy.Second / 10 // Retry-After of the rejection of a request that exceeds MaxPipelined
 )
 
@@ -210,8 +210,8 @@
 
 // reclaim closes a connection so that a new one can be admitted, and reports whether it closed one. It prefers connections
 // that have had no request, and among those the one from which bytes arrived least recently. It does not close a connection
-// with a request in flight or arriving, or one that has been idle for less than Config.ReclaimIdleAfter. A lingering
-// connection may be closed in any case.
+// with a request in flight or arriving, one whose response is not sent completely, or one that has been idle for less than
+// Config.ReclaimIdleAfter. Any other lingering connection may be closed.
 func (s *Server) reclaim() bool {
 	if s.config.ReclaimIdleAfter <= 0 {
 		return false
@@ -223,6 +223,9 @@
 		if c.state == connOpen && (len(c.pending) > 0 || c.requestStartedAt.Load() != 0 || now-lastRead < idleAfter) {
 			continue
 		}
+		if unsent, _ := c.conn.Pending(); unsent > 0 {
+			continue
+		}
 		if victim == nil || victim.hadRequest && !c.hadRequest ||
 			victim.hadRequest == c.hadRequest && lastRead < policy.Time(victim.lastReadAt.Load()) {
 			victim = c
@@ -256,7 +259,10 @@
 	now, transfer, first := s.loop.Now(), eventloop.FromDuration(s.config.TransferTimeout), eventloop.FromDuration(s.config.FirstRequestTimeout)
 	for c := range s.conns {
 		lastRead, started := policy.Time(c.lastReadAt.Load()), policy.Time(c.requestStartedAt.Load())
-		_, unreadSince := c.conn.Pending()
+		unsent, unreadSince := c.conn.Pending()
+		if unsent > 0 {
+			c.lingeringSince = now // the client can't close before it has read its response
+		}
 		firstOverdue := first > 0 && !c.hadRequest && now-c.acceptedAt > first
 		switch {
 		case c.state == connLingering && now-c.lingeringSince > lingerTimeout,
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -231,3 +231,32 @@
 		})
 	}
 }
+
+// Guards against a last response that is truncated because its client reads slowly.
+func TestServer_WritesWholeLastResponseToSlowReader(t *testing.T) {
+	for name, closes := range map[string]func(*Server){
+		"linger timeout": func(s *Server) {
+			for c := range s.conns {
+				c.lingeringSince -= 2 * lingerTimeout
+			}
+			s.sweep()
+		},
+		"reclaim": func(s *Server) { s.reclaim() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newTestbench(t, func(c *Config) { c.ReclaimIdleAfter = time.Nanosecond })
+			c := h.dial()
+			_, _ = fmt.Fprint(c, "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+			r := <-h.requests
+			body := bytes.Repeat([]byte("0123456789abcdef"), 1<<20) // more than the kernel buffers
+			h.loop.Do(func() { r.Respond(&http1.Message{Status: 200, Reason: "OK", Body: body}, 1) })
+			h.loop.Do(func() { closes(h.server) })
+			got, err := http.ReadResponse(c.in, nil)
+			require.NoError(t, err)
+			text, err := io.ReadAll(got.Body)
+			require.NoError(t, err)
+			require.NoError(t, got.Body.Close())
+			require.True(t, bytes.Equal(body, text))
+		})
+	}
+}
