A closing router waits 0.1 s for the first request of a new connection

A client that had just connected to a closing router had its connection closed while its first request was on the way, up to 10 ms after the connect. Change: a new connection without a request is closed 0.1 s after it was accepted; what arrives by then is rejected with 503. Evidence: TestServer_ClosingWaitsForFirstRequestOfNewConnection got no response before.

--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -32,9 +32,10 @@
 )
 
 const (
-	sweepInterval = policy.Second / 5  // how often connections are checked for their timeouts
-	lingerTimeout = policy.Second      // how long a client may take to close the connection after the last response was sent
-	pipelineRetry = policy.Second / 10 // Retry-After of the rejection of a request that exceeds MaxPipelined
+	sweepInterval      = policy.Second / 5  // how often connections are checked for their timeouts
+	lingerTimeout      = policy.Second      // how long a client may take to close the connection after the last response was sent
+	newConnectionGrace = policy.Second / 10 // how long the first request of a new connection may take to arrive while the server is closing
+	pipelineRetry      = policy.Second / 10 // Retry-After of the rejection of a request that exceeds MaxPipelined
 )
 
 // Class describes what clients have to know of a class of requests.
@@ -238,10 +239,11 @@
 	return true
 }
 
-// closeIdle closes the idle connections.
+// closeIdle closes the idle connections, except new ones, whose first request may be on the way.
 func (s *Server) closeIdle() {
+	now := s.loop.Now()
 	for c := range s.conns {
-		if c.state == connOpen {
+		if c.state == connOpen && (c.hadRequest || now-c.acceptedAt >= newConnectionGrace) {
 			c.closeIfIdle()
 		}
 	}
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -260,3 +260,22 @@
 		})
 	}
 }
+
+// Guards against a new connection that a closing router closes as idle while its first request is on the way.
+func TestServer_ClosingWaitsForFirstRequestOfNewConnection(t *testing.T) {
+	h := newTestbench(t, nil)
+	h.loop.Do(h.server.Close)
+	c := h.dial()
+	h.waitConnections(1)
+	h.loop.Do(func() { h.server.Drained() })
+	c.get()
+	require.Equal(t, http.StatusServiceUnavailable, c.status())
+	idle := h.dial()
+	require.Eventually(t, func() bool {
+		drained := false
+		h.loop.Do(func() { drained = h.server.Drained() })
+		return drained
+	}, 10*time.Second, time.Millisecond)
+	_, err := idle.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "a connection that stays silent is closed")
+}
