Decision records stay readable after a disk that was full for a while

A block that was written in part (ENOSPC, EIO) stayed in its file, and later blocks were appended behind it: a replay ended there, the rest of the file was lost, and the writer kept every error of the outage in memory. Change: after a failed write the part is cut off, the file is closed and the next block goes to a new one; a replay reports the gap by the entries' numbers; the first 20 errors are kept.

--- a/record/file_writer.go
+++ b/record/file_writer.go
@@ -12,8 +12,11 @@
 	"github.com/klauspost/compress/zstd"
 )
 
-// writeFiles writes blocks to files until the channel of blocks is closed. It continues after an error and returns all
-// errors at the end. If no file can be created for a block, that block is lost.
+// maxErrors is the number of errors that a writer keeps for its end.
+const maxErrors = 20
+
+// writeFiles writes blocks to files until the channel of blocks is closed. It continues after an error and returns the
+// first errors at the end. A block that can't be written completely is lost; a replay reports the gap.
 func (w *Writer) writeFiles() error {
 	compressor, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest))
 	if err != nil {
@@ -38,10 +41,11 @@
 type rotatingFile struct {
 	config Config
 	sink   Sink // nil before the first file is created, and after a file could not be created
-	size   int64
+	path   string
+	size   int64 // of the complete blocks
 	opened time.Time
 	count  int // number of files created, including failed attempts
-	errs   []error
+	errs   []error // the first maxErrors
 }
 
 // rotate makes sure that a file is open to which another block may be appended. It reports whether there is such a file.
@@ -56,34 +60,49 @@
 	name := fmt.Sprintf("%s-%s-%06d.rec", f.config.Name, time.Now().UTC().Format(fileTimestamp), f.count)
 	file, err := os.OpenFile(filepath.Join(f.config.Dir, name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
 	if err != nil {
-		f.errs = append(f.errs, err)
+		f.addError(err)
 		return false
 	}
+	f.path = file.Name()
 	f.sink, f.size, f.opened = f.config.OpenSink(file), 0, time.Now()
-	if _, err := f.sink.Write([]byte(magic)); err != nil {
-		f.errs = append(f.errs, err)
-	}
 	f.removeOldest(name)
-	return true
+	f.write([]byte(magic))
+	return f.sink != nil
 }
 
-// write appends an encoded block and returns the number of bytes written.
+// write appends an encoded block and returns the number of bytes written. If that fails, it removes the part that was
+// written and closes the file, so that the next block, in another file, can be read.
 func (f *rotatingFile) write(encoded []byte) int {
 	n, err := f.sink.Write(encoded)
-	if err != nil {
-		f.errs = append(f.errs, err)
+	if err == nil {
+		f.size += int64(n)
+		return n
 	}
-	f.size += int64(n)
-	return n
+	f.addError(err)
+	f.close()
+	if f.size == 0 {
+		err = os.Remove(f.path)
+	} else {
+		err = os.Truncate(f.path, f.size)
+	}
+	f.addError(err)
+	return 0
 }
 
 func (f *rotatingFile) close() {
 	if f.sink != nil {
-		f.errs = append(f.errs, f.sink.Close())
+		f.addError(f.sink.Close())
 		f.sink = nil
 	}
 }
 
+// addError keeps an error, unless it is nil or there are too many already.
+func (f *rotatingFile) addError(err error) {
+	if err != nil && len(f.errs) < maxErrors {
+		f.errs = append(f.errs, err)
+	}
+}
+
 // removeOldest removes the oldest files of this router so that the remaining ones, together with MaxFileBytes reserved
 // for the new file, don't exceed MaxBytes. newest is the name of the new file, which is never removed.
 func (f *rotatingFile) removeOldest(newest string) {
--- a/record/writer_test.go
+++ b/record/writer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,3 +93,40 @@
 	b.ReportMetric(float64(w.Written())/float64(b.N), "B/entry")
 	b.ReportMetric(float64(w.Dropped())/float64(b.N), "lost/entry")
 }
+
+// fullDisk is a file to which some writes fail after a part of the data.
+type fullDisk struct {
+	*os.File
+	writes *int
+	fails  func(write int) bool
+}
+
+func (d fullDisk) Write(b []byte) (int, error) {
+	*d.writes++
+	if d.fails(*d.writes) {
+		n, _ := d.File.Write(b[:len(b)/2])
+		return n, syscall.ENOSPC
+	}
+	return d.File.Write(b)
+}
+
+// Guards against records that can't be read any more after a block that was written in part.
+func TestWriter_KeepsLaterBlocksReadableAfterFullDisk(t *testing.T) {
+	dir, writes := t.TempDir(), 0
+	fails := func(write int) bool { return write >= 4 && write <= 6 } // the first block comes after the head of the file
+	w, err := Create(Config{Dir: dir, Name: "r1", OpenSink: func(f *os.File) Sink { return fullDisk{f, &writes, fails} }})
+	require.NoError(t, err)
+	for seed := range uint64(2) { // the router restarts once
+		runRouter(t, w, seed, 8000)
+		w.Flush()
+		require.Eventually(t, func() bool { return len(w.blocks) == 0 }, 10*time.Second, time.Millisecond)
+	}
+	require.ErrorIs(t, w.Close(), syscall.ENOSPC)
+	files, err := Files(dir, "r1")
+	require.NoError(t, err)
+	r, err := Replay(files, nil)
+	require.NoError(t, err)
+	require.Zero(t, r.Differences)
+	require.NotEmpty(t, r.Gaps)
+	require.Equal(t, 2, r.Starts)
+}
