An endpoint list that could not be cached is written again

Change: the write is repeated every second until it succeeds or a newer list takes its place; the first failure is logged, and what is still owed at the end. Evidence: TestProxy_CachesEndpointsOnceDiskWorksAgain failed before.

--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"dapplefront/internal/eds"
 	"dapplefront/policy"
 	"dapplefront/router"
@@ -64,12 +66,40 @@
 	p.cacheUpdates <- hosts
 }
 
-// writeEndpointCache writes lists to the cache file, outside the loop, until cacheUpdates is closed.
+// cacheRetryInterval is the time after which a list that could not be cached is written again.
+const cacheRetryInterval = time.Second
+
+// writeEndpointCache writes lists to the cache file, outside the loop, until cacheUpdates is closed. It repeats a write that
+// failed, because the disk may be full only for a while and the list may not change for long.
 func (p *Proxy) writeEndpointCache(file string) {
 	defer close(p.cacheWriterDone)
 	for hosts := range p.cacheUpdates {
-		if err := eds.SaveCache(file, hosts); err != nil {
-			p.log.Warn("endpoints are not cached", "error", err)
+		for failures := 0; ; failures++ {
+			err := eds.SaveCache(file, hosts)
+			if err == nil {
+				break
+			}
+			if failures == 0 {
+				p.log.Warn("endpoints are not cached; trying again", "file", file, "error", err)
+			}
+			newer, open := receiveWithin(p.cacheUpdates, cacheRetryInterval)
+			if !open {
+				p.log.Error("the last endpoint list is not cached", "file", file, "error", err)
+				return
+			}
+			if newer != nil {
+				hosts = newer
+			}
 		}
 	}
 }
+
+// receiveWithin returns the next value of a channel, or nil if none arrives within d, and whether the channel is open.
+func receiveWithin(lists <-chan []eds.Host, d time.Duration) (hosts []eds.Host, open bool) {
+	select {
+	case hosts, open = <-lists:
+		return hosts, open
+	case <-time.After(d):
+		return nil, true
+	}
+}
--- a/internal/proxy/endpoints_test.go
+++ b/internal/proxy/endpoints_test.go
@@ -1,14 +1,19 @@
 package proxy
 
 import (
+	"log/slog"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"dapplefront/internal/eds"
 	"dapplefront/policy"
 	"dapplefront/release"
+	"dapplefront/router"
 )
 
 func TestProxy_CompletesAttemptAndStartsNoMoreWhenHostStartsDraining(t *testing.T) {
@@ -121,3 +126,16 @@
 	require.Equal(t, "turned-back", outcome)
 	require.Less(t, time.Since(began), 400*time.Millisecond)
 }
+
+// Guards against an endpoint list that is never cached because the disk was full when it arrived.
+func TestProxy_CachesEndpointsOnceDiskWorksAgain(t *testing.T) {
+	p := &Proxy{log: slog.New(slog.DiscardHandler), cacheUpdates: make(chan []eds.Host, 1), cacheWriterDone: make(chan struct{})}
+	dir := filepath.Join(t.TempDir(), "not there yet") // writing to it fails
+	file := filepath.Join(dir, "list")
+	go p.writeEndpointCache(file)
+	p.cacheUpdates <- []eds.Host{{Host: router.Host{ID: 1, Build: 1}, Address: "127.0.0.1:1"}}
+	time.Sleep(cacheRetryInterval / 4)
+	require.NoError(t, os.Mkdir(dir, 0o700))
+	require.Eventually(t, func() bool { _, err := os.Stat(file); return err == nil }, 10*time.Second, 10*time.Millisecond)
+	p.stopCacheWriter()
+}
