Soak and shutdown plays: deadlines of 0.3 to 7.6 s, hold-ups, hosts that fail, requests in pieces

Plays of hosts that send half a response, reset or close, with a crowd of 100, and of requests whose last byte comes across the close.

--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -61,6 +61,7 @@
 	sentAt     time.Duration
 	timeout    time.Duration
 	newConn    bool // the connection was opened for this request
+	inPieces   bool // the last byte was sent a second after the others, at sentAt
 	status     int  // 0 if there was no complete response
 	endedAt    time.Duration
 	err        error
@@ -70,13 +71,13 @@
 // isLost reports whether the request had to have a response and had none. A connection that the router closes between two
 // requests may cross a request that was not read, which its client then sends again.
 func (s *sentRequest) isLost() bool {
-	crossed := !s.newConn && !s.wasAtAHost && s.endedAt-s.sentAt < soakCloseRace
+	crossed := !s.newConn && !s.inPieces && !s.wasAtAHost && s.endedAt-s.sentAt < soakCloseRace
 	return s.status == 0 && !crossed
 }
 
 func (s *sentRequest) String() string {
-	return fmt.Sprintf("%s %s sent %v, timeout %v, new connection %v, at a host %v: ended %v: status %d, %v",
-		s.id, s.class, s.sentAt.Round(time.Millisecond), s.timeout, s.newConn, s.wasAtAHost, s.endedAt.Round(time.Millisecond), s.status, s.err)
+	return fmt.Sprintf("%s %s sent %v, timeout %v, new connection %v, in pieces %v, at a host %v: ended %v: status %d, %v",
+		s.id, s.class, s.sentAt.Round(time.Millisecond), s.timeout, s.newConn, s.inPieces, s.wasAtAHost, s.endedAt.Round(time.Millisecond), s.status, s.err)
 }
 
 // played is the result of a play.
@@ -132,10 +133,15 @@
 	terminateAt := time.Now().Add(1100*time.Millisecond - s.from)
 	killAt := terminateAt.Add(earliestKill(max(s.deadlines[0], s.deadlines[1], s.deadlines[2])))
 	p := &played{}
+	const pieces = 6 // one in this many requests arrives in pieces
 	var clients, signals sync.WaitGroup
 	send := func(at time.Duration, newConn bool) {
 		n := len(p.requests)
 		r := &sentRequest{id: fmt.Sprintf("r%d", n), class: classNames[n%3], sentAt: at, timeout: s.timeouts[n%3], newConn: newConn}
+		r.inPieces = n%pieces == 1 // a POST
+		if r.inPieces {
+			r.newConn = false
+		}
 		if r.timeout == 0 {
 			r.timeout = s.deadlines[n%3]
 		}
@@ -179,10 +185,15 @@
 	conn, err := net.Dial("tcp", address)
 	if err == nil {
 		defer func() { _ = conn.Close() }()
+		text := s.text()
+		if s.inPieces {
+			_, _ = io.WriteString(conn, text[:len(text)-1])
+			text = text[len(text)-1:]
+		}
 		time.Sleep(time.Until(terminateAt.Add(s.sentAt)))
 		s.sentAt = time.Since(terminateAt)
 		_ = conn.SetDeadline(killAt.Add(time.Second))
-		if _, err = io.WriteString(conn, s.text()); err == nil {
+		if _, err = io.WriteString(conn, text); err == nil {
 			s.status, err = readStatus(conn)
 		}
 	}
@@ -294,3 +305,50 @@
 	}
 	require.Positive(t, attempted)
 }
+
+// Guards against requests of a stopping router that stay without a response because hosts break their connections.
+func TestShutdown_AnswersEveryRequestWhenHostsFail(t *testing.T) {
+	hosts := map[string]func(net.Conn, *http.Request, []byte) bool{
+		"half a response, then silence": func(c net.Conn, r *http.Request, body []byte) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+			return hang(c, r, body)
+		},
+		"a reset after 0.4 s": func(c net.Conn, _ *http.Request, _ []byte) bool {
+			time.Sleep(400 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		},
+		"an end after each response": func(c net.Conn, r *http.Request, body []byte) bool {
+			_ = respondOK(c, r, body)
+			return false
+		},
+	}
+	for name, serve := range hosts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play := shutdownPlay{deadlines: deadlinesOf(5.7, 0.6, 7.6), serve: serve, from: -time.Second, every: 30 * time.Millisecond, crowd: 100}
+			play.play(t).requireAllAnswered(t)
+		})
+	}
+}
+
+// Guards against a stopping router that exits while a request is half read: its client gets a response before the kill.
+func TestShutdown_RefusesRequestThatStopsInTheMiddle(t *testing.T) {
+	host := newFakeHost(t, "h0", respondOK)
+	platform := newFakePlatform(t, host.entry())
+	config := configJSON(platform.address(), platform.address())
+	router := startConfiguredProcess(t, config)
+	c, err := net.Dial("tcp", router.address)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "POST /api HTTP/1.1\r\nHost: service\r\nContent-Length: 2\r\nRequest-Id: r0\r\n\r\nh")
+	time.Sleep(50 * time.Millisecond)
+	router.signal(syscall.SIGTERM)
+	killAt := time.Now().Add(earliestKill(time.Second))
+	_ = c.SetReadDeadline(killAt)
+	status, err := readStatus(c)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	_ = c.Close()
+	require.True(t, router.awaitEnd(killAt.Add(time.Second)))
+}
--- a/internal/node/soak_test.go
+++ b/internal/node/soak_test.go
@@ -29,17 +29,19 @@
 	soakFirstVariable = "SOAK_FIRST"
 	soakSeeds         = 8
 
-	soakTimeout = 900 * time.Millisecond // the clients' request timeout; the longest deadline of the classes is 1 s
 	// A response up to soakLateAllowed after the request timeout is late; after that, it counts as lost.
 	soakLateAllowed   = 500 * time.Millisecond
-	soakKillAfter     = 1700 * time.Millisecond // after SIGTERM: the longest deadline plus 0.7 s
-	soakDrainGrace    = 300 * time.Millisecond  // how long attempts may still arrive at a host after it is reported as draining
-	soakTransitMargin = 150 * time.Millisecond  // additional allowance for attempts in transit
-	soakCloseRace     = 10 * time.Millisecond   // a request sent this shortly before its connection ends raced with the close
+	soakDrainGrace    = 300 * time.Millisecond // how long attempts may still arrive at a host after it is reported as draining
+	soakTransitMargin = 150 * time.Millisecond // additional allowance for attempts in transit
+	soakCloseRace     = 10 * time.Millisecond  // a request sent this shortly before its connection ends raced with the close
 	soakClients       = 8
 	soakExtraClients  = 100
 )
 
+// soakDeadlines are the deadlines of the classes, of which each run draws one: below, at and above those that the platform
+// counts for its kill.
+var soakDeadlines = []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, time.Second, 3300 * time.Millisecond, 7600 * time.Millisecond}
+
 // soakNumber returns a number from the environment, or the default if the variable is not set.
 func soakNumber(t *testing.T, variable string, defaultNumber int) int {
 	t.Helper()
@@ -64,7 +66,11 @@
 // soak is one run of the soak test.
 type soak struct {
 	*testing.T
-	random         *rand.Rand // used by the goroutine that sends signals
+	random         *rand.Rand    // used by the goroutine that sends signals
+	deadline       time.Duration // of all classes
+	timeout        time.Duration // of the clients' requests
+	hostsHang      bool          // all hosts hang from SIGTERM on
+	holdsUp        bool          // the process is held up at SIGTERM and during the shutdown
 	hosts          []*fakeHost
 	platforms      [2]*fakePlatform
 	activePlatform int // index of the platform in the newest configuration
@@ -85,6 +91,8 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	t.Helper()
 	s := &soak{T: t, random: rand.New(rand.NewPCG(seed, 1)), outcomes: map[string]int{}}
+	s.deadline = soakDeadlines[s.random.IntN(len(soakDeadlines))]
+	s.timeout, s.hostsHang, s.holdsUp = s.deadline*9/10, s.random.IntN(2) == 0, s.random.IntN(2) == 0
 	var members []string
 	for i := range 4 {
 		host := s.newHost(fmt.Sprintf("h%d", i), rand.New(rand.NewPCG(seed, uint64(10+i))))
@@ -109,6 +117,9 @@
 		mu.Lock()
 		work, hangs := time.Duration(random.Float64()*random.Float64()*float64(200*time.Millisecond)), random.Float64() < 0.01
 		mu.Unlock()
+		if s.hostsHang && s.terminatedAt.Load() != 0 {
+			return hang(c, r, body)
+		}
 		if hangs {
 			time.Sleep(2 * time.Second)
 			return false
@@ -131,6 +142,9 @@
 func (s *soak) writeConfig(platform int) {
 	b := configJSON(s.platforms[platform].address(), s.platforms[platform].address())
 	b["listen"] = s.address
+	for class := range 3 {
+		classSettings(b, class)["DeadlineUs"] = s.deadline.Microseconds()
+	}
 	writeConfigFile(s, s.configFile, b)
 }
 
@@ -153,7 +167,7 @@
 	s.pause(300, 900)
 	s.terminate()
 	clients.Wait()
-	s.Logf("many clients %v: %v", manyClients, s.outcomes)
+	s.Logf("deadline %v, hosts hang %v, hold-ups %v, many clients %v: %v", s.deadline, s.hostsHang, s.holdsUp, manyClients, s.outcomes)
 	require.Empty(s, s.findings, s.router.output.String())
 	require.Positive(s, s.outcomes["200"])
 }
@@ -203,15 +217,29 @@
 		s.router.signal(syscall.SIGHUP)
 		s.pause(0, 20)
 	}
+	var holdUps sync.WaitGroup
+	if s.holdsUp {
+		holdUps.Go(func() { s.router.holdUp(pageHoldUp) })
+		s.pause(0, int(pageHoldUp.Milliseconds()))
+	}
 	s.router.signal(syscall.SIGTERM)
 	now := time.Now()
+	killAt := now.Add(earliestKill(s.deadline))
+	if s.holdsUp {
+		at := killAt.Add(-time.Duration(150+s.random.IntN(500)) * time.Millisecond)
+		holdUps.Go(func() {
+			time.Sleep(time.Until(at))
+			s.router.holdUp(pageHoldUp)
+		})
+	}
 	s.terminatedAt.Store(now.UnixNano())
 	s.stopConnectingAt.Store(now.Add(time.Duration(200+s.random.IntN(200)) * time.Millisecond).UnixNano())
 	for range s.random.IntN(3) {
 		s.pause(0, 300)
 		s.router.signal(syscall.SIGHUP)
 	}
-	if s.router.awaitEnd(now.Add(soakKillAfter)) {
+	defer holdUps.Wait()
+	if s.router.awaitEnd(killAt) {
 		s.count("exited before the kill")
 	} else {
 		s.count("killed")
@@ -270,8 +298,9 @@
 		case 1:
 			text, _ = requestText("POST", "pay")
 		}
+		text = strings.Replace(text, "Timeout-Ms: 900", "Timeout-Ms: "+strconv.FormatInt(s.timeout.Milliseconds(), 10), 1)
 		sentAt := time.Now()
-		_ = conn.SetDeadline(sentAt.Add(soakTimeout + soakLateAllowed))
+		_ = conn.SetDeadline(sentAt.Add(s.timeout + soakLateAllowed))
 		_, err := io.WriteString(conn, text)
 		var got *http.Response
 		if err == nil {
