Start times of hosts hold when the wall clock is stepped

After a step of the wall clock by seconds or an hour, a host that had just started looked warm to a running router (clock set back: it got the load of a warm host, beyond its budget) or cold for an hour (set forward), because discovery reports starts on the wall clock and the router's clock is monotonic. Change: a reported time is converted by the step since the router's start, once for each reported time, because a host whose time changes counts as restarted. Records hold the converted times and replay as before. Evidence: TestProxy_ConvertsStartTimesAfterStepOfWallClock failed in all three cases without the conversion.

--- a/internal/eventloop/clock.go
+++ b/internal/eventloop/clock.go
@@ -25,6 +25,12 @@
 // elapsed returns the time since the clock was created.
 func (c *clock) elapsed() time.Duration { return time.Since(c.start) }
 
+// wallStep returns by how much the wall clock has been set forward since the clock was created; it is negative if the wall
+// clock has been set back.
+func (c *clock) wallStep() time.Duration {
+	return time.Now().Round(0).Sub(c.start.Round(0)) - c.elapsed()
+}
+
 // FromDuration converts a duration to policy.Time, rounded towards zero.
 func FromDuration(d time.Duration) policy.Time { return policy.Time(d / tick) }
 
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -35,6 +35,8 @@
 	deferred []func()
 	stats    Stats
 	lag      lagPeak
+
+	testWallStep policy.Time // replaces the actual one in tests, unless it is 0
 }
 
 // queuedWork is a piece of work in the queue.
@@ -52,6 +54,18 @@
 // then by a monotonic clock. It never steps back.
 func (l *Loop) Now() policy.Time { return l.clock.now() }
 
+// WallStep returns by how much the wall clock has been set forward since the loop was created. It must be called from the
+// loop's work. Tests replace it by SetWallStep.
+func (l *Loop) WallStep() policy.Time {
+	if l.testWallStep != 0 {
+		return l.testWallStep
+	}
+	return FromDuration(l.clock.wallStep())
+}
+
+// SetWallStep sets the result of WallStep for tests. It must be called from the loop's work.
+func (l *Loop) SetWallStep(step policy.Time) { l.testWallStep = step }
+
 // Post queues work, and runs the queue if no other goroutine does. After Close it does nothing.
 func (l *Loop) Post(work func()) {
 	posted := queuedWork{work, l.clock.elapsed()}
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -12,8 +12,10 @@
 func (p *Proxy) endpointsChanged(complete bool, hosts []eds.Host) {
 	list := make([]router.Host, len(hosts))
 	listed := make(map[uint32]bool, len(hosts))
+	wallStep := p.loop.WallStep()
 	for n, h := range hosts {
 		list[n], listed[h.ID] = h.Host, true
+		list[n].StartedAt = p.startTimes.convert(h.ID, h.StartedAt, wallStep)
 		if h.State == policy.Removed {
 			p.pool.Remove(h.ID)
 		} else {
@@ -35,6 +37,7 @@
 			current = append(current, h)
 		} else if p.faults == nil { // a fault injector may send attempts to removed hosts
 			delete(p.endpoints, id)
+			delete(p.startTimes, id)
 		}
 	}
 	p.cacheEndpoints(current)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -76,6 +76,7 @@
 	outcomes       map[int]map[string]int // number of requests since the last report, by build and outcome
 
 	endpoints        map[uint32]eds.Host
+	startTimes       startTimes
 	initialEndpoints []eds.Host // known before discovery's first response
 	cacheUpdates     chan []eds.Host
 	cacheWriterDone  chan struct{}
@@ -103,7 +104,7 @@
 // StartWith returns. Errors contain the router's name.
 func StartWith(protocols Protocols, c *routerconfig.Config, log *slog.Logger, faults FaultInjector) (_ *Proxy, err error) {
 	p := &Proxy{config: c, log: log.With("router", c.Name), loop: eventloop.New(), faults: faults, requests: map[string]*request{},
-		endpoints: map[uint32]eds.Host{}, outcomes: map[int]map[string]int{}, budget: http1.NewBudget(int64(c.MaxBodyBytes)),
+		endpoints: map[uint32]eds.Host{}, startTimes: startTimes{}, outcomes: map[int]map[string]int{}, budget: http1.NewBudget(int64(c.MaxBodyBytes)),
 		cacheUpdates: make(chan []eds.Host, 1), cacheWriterDone: make(chan struct{}), protocol: c.Upstream.ProtocolOrDefault()}
 	var closers []func() // close what has been opened so far; called in reverse order after an error
 	defer func() {
