--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -154,3 +155,10 @@
 		})
 	}
 }
+
+// Guards against connections that are kept longer than their hosts keep them.
+func TestUpstreamIdleTimeout_IsShorterThanThatOfHosts(t *testing.T) {
+	for _, hostIdle := range []time.Duration{100 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 4 * time.Second, 15 * time.Second} {
+		require.LessOrEqual(t, upstreamIdleTimeout(hostIdle), hostIdle-min(idleMargin, hostIdle/2), hostIdle)
+	}
+}
--- a/internal/node/router_config.go
+++ b/internal/node/router_config.go
@@ -28,8 +28,7 @@
 
 	// idleMargin is subtracted from the hosts' idle timeout to get the router's idle timeout, because a host may close an
 	// idle connection slightly early.
-	idleMargin             = 2 * time.Second
-	minUpstreamIdleTimeout = time.Second
+	idleMargin = 2 * time.Second
 
 	transferTimeout     = 2 * time.Second
 	clientIdleTimeout   = 2100 * time.Millisecond
@@ -70,7 +69,7 @@
 	r := &routerconfig.Config{Name: c.Name, Listen: c.Listen, MaxBodyBytes: c.Limits.MemoryMB << 20 / 6,
 		Router: c.settings.Router}
 	r.Upstream = upstream.Config{ConnectTimeout: max(c.duration("Permissions.ConnectTimeoutUs"), minConnectTimeout),
-		IdleTimeout:           max(idle-idleMargin, idle/2, minUpstreamIdleTimeout),
+		IdleTimeout:           upstreamIdleTimeout(idle),
 		MaxConnectionsPerHost: sockets, MaxConnections: maxUpstream,
 		Limits: http1.Limits{Head: maxHeadBytes, Body: maxResponseBytes, RequireFraming: true}, Protocol: upstreamProtocol}
 	r.Downstream = downstream.Config{RouterName: c.Name, TransferTimeout: transferTimeout, IdleTimeout: clientIdleTimeout,
@@ -86,6 +85,12 @@
 	return r
 }
 
+// upstreamIdleTimeout returns how long a connection may be idle before it is no longer used, for hosts that close connections
+// that have been idle for hostIdle at the latest. Where hosts do so after a short time, half of it is left as a margin.
+func upstreamIdleTimeout(hostIdle time.Duration) time.Duration {
+	return max(hostIdle-idleMargin, hostIdle/2)
+}
+
 // duration returns the setting at path, which is in microseconds.
 func (c *Config) duration(path string) time.Duration {
 	return time.Duration(c.values.Int(path)) * time.Microsecond
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -100,7 +100,7 @@
 	p.loop.After(sweepInterval, func() {
 		now := p.loop.Now()
 		for _, h := range p.hosts {
-			h.closeIdle(func(c *upstreamConn) bool { return now-c.idleSince > eventloop.FromDuration(p.config.IdleTimeout) })
+			h.closeIdle(func(c *upstreamConn) bool { return p.isIdleTooLong(c, now) })
 		}
 		if !p.closed {
 			p.sweepLater()
@@ -138,8 +138,13 @@
 	return a
 }
 
+// isIdleTooLong reports whether a connection has been idle for the idle timeout, so that its host may close it.
+func (p *Pool) isIdleTooLong(c *upstreamConn, now policy.Time) bool {
+	return now-c.idleSince >= eventloop.FromDuration(p.config.IdleTimeout)
+}
+
 // takeIdle returns the most recently used of the idle connections whose quiet period is over, or nil if there is none. It
-// closes connections that the host has closed, or on which unexpected bytes have arrived.
+// closes connections that have been idle too long, that the host has closed, or on which unexpected bytes have arrived.
 func (p *Pool) takeIdle(h *host, now policy.Time) *upstreamConn {
 	for n := len(h.idle) - 1; n >= 0; n-- {
 		c := h.idle[n]
@@ -147,7 +152,7 @@
 			continue
 		}
 		h.idle = slices.Delete(h.idle, n, n+1)
-		if c.conn.Quiet() {
+		if !p.isIdleTooLong(c, now) && c.conn.Quiet() {
 			return c
 		}
 		c.close()
