A controller survives a store that fails for a while

With a full disk (ENOSPC) or one that returns errors (EIO) at the wrong moment, a controller's process ended: the raft library panics where it can't save the current term or read an entry, and calls in flight got no response. Change: these two operations are repeated every 50 ms until they succeed, with the first failure logged; other failures were errors to the caller before and stay so. During a shutdown a store that still fails keeps the library from ending, which Close reports after its 10 s. Evidence: TestNode_KeepsRunningWhileStoreFails ended in 'panic: failed to save current term: no space left on device' without the change.

--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -120,6 +120,8 @@
 	if n.config.WrapStores != nil {
 		logs, stable = n.config.WrapStores(logs, stable)
 	}
+	retrier := storeRetrier{n.log, n.stop}
+	logs, stable = retryingLogStore{logs, retrier}, retryingStableStore{stable, retrier}
 	c := n.raftConfig()
 	if n.config.Bootstrap {
 		if err := n.bootstrap(c, logs, stable, snapshots); err != nil {
