Names of record files sort by their order after the wall clock was set back

After a step of the wall clock back by an hour, a new record file sorted before the older ones: a replay read the records in the wrong order, and the limit on bytes removed the newest first. Change: a new file's timestamp is later than that of every file of the router, also of an earlier process. Evidence: TestRotatingFile_NamesSortByOrderOfCreationWhenWallClockIsSetBack failed before.

--- a/record/file_writer.go
+++ b/record/file_writer.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return err
 	}
-	files := rotatingFile{config: w.config}
+	files := rotatingFile{config: w.config, now: time.Now}
 	for b := range w.blocks {
 		if !files.rotate() {
 			continue
@@ -40,11 +40,12 @@
 // rotatingFile is the file that blocks are appended to. A new file replaces it once it reaches the maximum size or age.
 type rotatingFile struct {
 	config Config
-	sink   Sink // nil before the first file is created, and after a file could not be created
+	now    func() time.Time // the wall clock
+	sink   Sink             // nil before the first file is created, and after a file could not be created
 	path   string
 	size   int64 // of the complete blocks
 	opened time.Time
-	count  int // number of files created, including failed attempts
+	count  int     // number of files created, including failed attempts
 	errs   []error // the first maxErrors
 }
 
@@ -57,7 +58,7 @@
 		return true
 	}
 	f.count++
-	name := fmt.Sprintf("%s-%s-%06d.rec", f.config.Name, time.Now().UTC().Format(fileTimestamp), f.count)
+	name := fmt.Sprintf("%s-%s-%06d.rec", f.config.Name, f.nextTimestamp(), f.count)
 	file, err := os.OpenFile(filepath.Join(f.config.Dir, name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
 	if err != nil {
 		f.addError(err)
@@ -70,6 +71,20 @@
 	return f.sink != nil
 }
 
+// nextTimestamp returns the timestamp of a new file's name. It is later than those of all files of this router, also after the
+// wall clock was set back, because the order of the names is the order of the records.
+func (f *rotatingFile) nextTimestamp() string {
+	next := f.now().UTC()
+	if files, err := Files(f.config.Dir, f.config.Name); err == nil && len(files) > 0 {
+		text := strings.TrimPrefix(filepath.Base(files[len(files)-1]), f.config.Name+"-")
+		newest, err := time.Parse(fileTimestamp, text[:min(len(text), len(fileTimestamp))])
+		if err == nil && !next.After(newest) {
+			next = newest.Add(time.Microsecond)
+		}
+	}
+	return next.Format(fileTimestamp)
+}
+
 // write appends an encoded block and returns the number of bytes written. If that fails, it removes the part that was
 // written and closes the file, so that the next block, in another file, can be read.
 func (f *rotatingFile) write(encoded []byte) int {
--- a/record/writer_test.go
+++ b/record/writer_test.go
@@ -130,3 +130,22 @@
 	require.NotEmpty(t, r.Gaps)
 	require.Equal(t, 2, r.Starts)
 }
+
+// Guards against records that are replayed in the wrong order, or removed first, after the wall clock was set back.
+func TestRotatingFile_NamesSortByOrderOfCreationWhenWallClockIsSetBack(t *testing.T) {
+	clock := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	config := Config{Dir: t.TempDir(), Name: "r1", MaxFileAge: time.Hour, MaxBytes: 1 << 20, OpenSink: func(f *os.File) Sink { return f }}
+	var created []string
+	for range 2 { // two processes
+		f := rotatingFile{config: config, now: func() time.Time { return clock }}
+		for range 3 {
+			require.True(t, f.rotate())
+			f.close()
+			created = append(created, f.path)
+			clock = clock.Add(-time.Hour)
+		}
+	}
+	files, err := Files(config.Dir, config.Name)
+	require.NoError(t, err)
+	require.Equal(t, created, files)
+}
