Play: SIGTERM among SIGHUPs before the router is ready

Twenty requests on new connections across SIGHUP, SIGHUP with other settings, SIGTERM and SIGHUP, while discovery and the feed never respond: each has its response.

--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -100,34 +100,39 @@
 }
 
 // startRouterProcess starts a router that listens on address and waits until it is ready.
-func startRouterProcess(tb testing.TB, configFile, address string, environment ...string) *routerProcess {
+func startRouterProcess(tb testing.TB, configFile, address string) *routerProcess {
+	tb.Helper()
+	p := startUnreadyProcess(tb, configFile, address)
+	require.Eventually(tb, func() bool { return p.readiness() == http.StatusOK }, 20*time.Second, 5*time.Millisecond)
+	return p
+}
+
+// startUnreadyProcess starts a router that listens on address and waits until it responds.
+func startUnreadyProcess(tb testing.TB, configFile, address string) *routerProcess {
 	tb.Helper()
 	program, err := os.Executable()
 	require.NoError(tb, err)
 	p := &routerProcess{TB: tb, command: exec.Command(program), address: address}
-	p.command.Env = append(append(os.Environ(), routerFileVariable+"="+configFile), environment...)
+	p.command.Env = append(os.Environ(), routerFileVariable+"="+configFile)
 	p.command.Stderr = &p.output
 	p.lines, err = p.command.StdoutPipe()
 	require.NoError(tb, err)
 	require.NoError(tb, p.command.Start())
 	tb.Cleanup(func() { _ = p.command.Process.Kill() }) // a process that has been waited for is not signaled
-	require.Eventually(tb, p.ready, 20*time.Second, 5*time.Millisecond)
+	require.Eventually(tb, func() bool { return p.readiness() != 0 }, 20*time.Second, 5*time.Millisecond)
 	return p
 }
 
-func (p *routerProcess) ready() bool {
+// readiness returns the status of the router's readiness path, or 0 if it does not respond.
+func (p *routerProcess) readiness() int {
 	c, err := net.Dial("tcp", p.address)
 	if err != nil {
-		return false
+		return 0
 	}
 	defer func() { _ = c.Close() }()
 	_, _ = io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-	got, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = got.Body.Close() }()
-	return got.StatusCode == http.StatusOK
+	status, _ := readStatus(c)
+	return status
 }
 
 func (p *routerProcess) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -352,3 +353,36 @@
 	_ = c.Close()
 	require.True(t, router.awaitEnd(killAt.Add(time.Second)))
 }
+
+// Guards against a router that drops requests when SIGTERM comes before it is ready, among SIGHUPs that change the settings.
+func TestShutdown_AnswersRequestsWhenSignaledBeforeReady(t *testing.T) {
+	silent := newGatedServer(t) // discovery and feed that never respond, so that the router is not ready
+	config := configJSON(silent.Addr().String(), silent.Addr().String())
+	address := freeAddress(t)
+	config["listen"] = address
+	file := filepath.Join(t.TempDir(), "config.json")
+	writeConfigFile(t, file, config)
+	router := startUnreadyProcess(t, file, address)
+	requests := make([]*sentRequest, 20)
+	terminateAt := time.Now().Add(200 * time.Millisecond)
+	killAt := terminateAt.Add(earliestKill(time.Second))
+	var clients sync.WaitGroup
+	for n := range requests {
+		r := &sentRequest{id: fmt.Sprintf("r%d", n), class: classNames[n%3], sentAt: time.Duration(n*25-150) * time.Millisecond,
+			timeout: 900 * time.Millisecond, newConn: true}
+		requests[n] = r
+		clients.Go(func() { r.run(address, terminateAt, killAt) })
+	}
+	settingsAt(config, "Obligations")["DrainGraceUs"] = 500000
+	writeConfigFile(t, file, config)
+	router.signal(syscall.SIGHUP)
+	time.Sleep(time.Until(terminateAt))
+	router.signal(syscall.SIGHUP)
+	router.signal(syscall.SIGTERM)
+	router.signal(syscall.SIGHUP)
+	router.awaitEnd(killAt)
+	clients.Wait()
+	for _, r := range requests {
+		require.False(t, r.isLost(), r.String())
+	}
+}
