Requests of a crowd beyond the limit on connections are rejected, not dropped

At the limit on client connections, with every connection in use, a new one was closed at once, also when its request had arrived: the client got no response, which counts as lost on a new connection too. Change: the last sixteenth of the clients' descriptors (the total is as before) is for connections beyond the limit; the request of each gets 503 and the connection is closed, unless one of the others has become free. Evidence: TestServer_RejectsRequestsOfConnectionsAboveLimit got no response before.

--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -44,10 +44,11 @@
 	reader      *http1.Reader
 	readStopped bool
 
-	state          connState
-	lingeringSince policy.Time
-	pending        []*pendingResponse // responses that are due, in the order of the requests
-	hadRequest     bool               // a complete request was handled, or an invalid one was refused
+	state           connState
+	lingeringSince  policy.Time
+	pending         []*pendingResponse // responses that are due, in the order of the requests
+	rejectsRequests bool               // the connection exceeded Config.MaxConnections when it was accepted, and still does
+	hadRequest      bool               // a complete request was handled, or an invalid one was refused
 }
 
 type connState int
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -37,10 +37,11 @@
 // requestReceived handles a complete request, whose first byte arrived at startedAt.
 func (s *Server) requestReceived(c *clientConn, m *http1.Message, startedAt policy.Time) {
 	isDraining := s.state >= draining
+	c.rejectsRequests = c.rejectsRequests && len(s.conns) > s.config.MaxConnections
 	if isDraining && len(c.pending) > 0 { // only the response to the newest request closes the connection
 		c.pending[len(c.pending)-1].closeAfter = false
 	}
-	p := &pendingResponse{conn: c, closeAfter: m.Closes() || isDraining, omitBody: m.Method == http.MethodHead}
+	p := &pendingResponse{conn: c, closeAfter: m.Closes() || isDraining || c.rejectsRequests, omitBody: m.Method == http.MethodHead}
 	c.pending = append(c.pending, p)
 	c.hadRequest = true
 	s.unanswered++
@@ -63,6 +64,10 @@
 		s.refusedClosing++
 		s.log.Info("request refused", "request", r.ID, "class", r.Class, "reason", "the router is closing")
 		r.Reject(0, "this router is closing")
+	case c.rejectsRequests:
+		m.Drop()
+		s.log.Info("request refused", "request", r.ID, "class", r.Class, "reason", "the limit on client connections is reached")
+		r.Reject(pipelineRetry, "too many connections")
 	case len(c.pending) > s.config.MaxPipelined:
 		m.Drop()
 		r.Reject(pipelineRetry, "too many requests at once on one connection")
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -61,7 +61,8 @@
 	Limits              http1.Limits
 	TransferTimeout     time.Duration // how long a request may take to arrive, and a response to be read
 	IdleTimeout         time.Duration // how long a connection is kept without a request
-	MaxConnections      int           // maximum number of open connections
+	MaxConnections      int           // maximum number of open connections whose requests are handled
+	RejectedConnections int           // maximum number of connections above MaxConnections, whose requests are rejected
 	MaxPipelined        int           // maximum number of requests of one connection that are in flight at once
 	RouterName          string        // the router's name
 	FirstRequestTimeout time.Duration // how long the first request of a connection may take to arrive completely; 0 means no limit
@@ -198,7 +199,11 @@
 	c.acceptedAt = s.loop.Now()
 	c.lastReadAt.Store(int64(c.acceptedAt))
 	s.loop.Post(func() {
-		if len(s.conns) >= s.config.MaxConnections && !s.reclaim() {
+		switch {
+		case len(s.conns) < s.config.MaxConnections || s.reclaim():
+		case len(s.conns) < s.config.MaxConnections+s.config.RejectedConnections:
+			c.rejectsRequests = true
+		default:
 			c.state = connClosed // its requests are not handled, because no response can reach the client
 			c.logClosed("the limit on client connections is reached")
 			conn.Close()
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -279,3 +279,23 @@
 	_, err := idle.in.ReadByte()
 	require.ErrorIs(t, err, io.EOF, "a connection that stays silent is closed")
 }
+
+// Guards against requests of a crowd that a router reads and never responds to, because it has too many connections.
+func TestServer_RejectsRequestsOfConnectionsAboveLimit(t *testing.T) {
+	h := newTestbench(t, func(c *Config) { c.MaxConnections, c.RejectedConnections = 1, 3 })
+	first := h.dial()
+	first.get()
+	admitted := <-h.requests
+	for range 9 { // one after the other, as each leaves when it is rejected
+		c := h.dial()
+		c.get()
+		require.Equal(t, http.StatusServiceUnavailable, c.status())
+		_, err := c.in.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.NoError(t, c.Close())
+		h.waitConnections(1)
+	}
+	require.Empty(t, h.requests)
+	h.fail(admitted)
+	require.Equal(t, http.StatusBadGateway, first.status())
+}
--- a/internal/node/router_config.go
+++ b/internal/node/router_config.go
@@ -39,6 +39,10 @@
 	// rejected request.
 	reclaimIdleAfter = 200 * time.Millisecond
 
+	// rejectedConnectionsShare is the divisor that gives the share of the client connections that is kept for rejecting the
+	// requests of connections beyond the limit.
+	rejectedConnectionsShare = 16
+
 	defaultRequestTimeout = time.Minute // for a class whose DeadlineUs is less than a unit of policy.Time
 )
 
@@ -65,6 +69,8 @@
 func (c *Config) routerConfig() *routerconfig.Config {
 	sockets := c.Limits.Sockets - reservedSockets
 	maxUpstream := sockets * 9 / 20
+	maxDownstream := sockets - maxUpstream
+	rejected := maxDownstream / rejectedConnectionsShare
 	idle := c.duration("Permissions.ConnIdleUs")
 	r := &routerconfig.Config{Name: c.Name, Listen: c.Listen, MaxBodyBytes: c.Limits.MemoryMB << 20 / 6,
 		Router: c.settings.Router}
@@ -73,7 +79,8 @@
 		MaxConnectionsPerHost: sockets, MaxConnections: maxUpstream,
 		Limits: http1.Limits{Head: maxHeadBytes, Body: maxResponseBytes, RequireFraming: true}, Protocol: upstreamProtocol}
 	r.Downstream = downstream.Config{RouterName: c.Name, TransferTimeout: transferTimeout, IdleTimeout: clientIdleTimeout,
-		FirstRequestTimeout: firstRequestTimeout, ReclaimIdleAfter: reclaimIdleAfter, MaxConnections: sockets - maxUpstream, MaxPipelined: 1,
+		FirstRequestTimeout: firstRequestTimeout, ReclaimIdleAfter: reclaimIdleAfter, MaxConnections: maxDownstream - rejected,
+		RejectedConnections: rejected, MaxPipelined: 1,
 		Limits: http1.Limits{Head: maxHeadBytes, Body: maxRequestBodyBytes}, Protocol: downstreamProtocol}
 	longestDeadline := time.Duration(0)
 	for i, class := range r.Router.Classes {
