Log of a connection with too many requests does not run under the reader's lock

Read off the code on the second reading, not seen to hang. The work is returned to the reader instead, as all other work.

--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -91,11 +91,7 @@
 		case http1.HeadRead:
 			c.expectContinue()
 		case http1.MessageRead:
-			next := c.requestRead()
-			if next == nil {
-				return work
-			}
-			work = append(work, next)
+			work = append(work, c.requestRead())
 		}
 	}
 	return work
@@ -125,16 +121,15 @@
 }
 
 // requestRead takes a complete request from the reader and returns the work that handles it. If too many requests are
-// already waiting for their responses, it closes the connection and returns nil. The caller holds mu.
+// already waiting for their responses, it closes the connection instead, and the work logs that. The caller holds mu.
 func (c *clientConn) requestRead() func() {
 	m, startedAt := c.reader.Take(), policy.Time(c.requestStartedAt.Load())
 	c.requestStartedAt.Store(0)
 	if c.awaitingResponse.Add(1) > int64(maxQueuedFactor*c.server.config.MaxPipelined) {
 		c.readStopped = true
 		m.Drop()
-		c.server.loop.Post(func() { c.logClosed("too many requests at once on one connection") })
 		c.conn.Close()
-		return nil
+		return func() { c.logClosed("too many requests at once on one connection") }
 	}
 	if m.Closes() {
 		c.readStopped = true
