--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -85,6 +85,17 @@
 	return got.StatusCode
 }
 
+// requireBody checks that the next response is complete and has the given body.
+func (c testClient) requireBody(t *testing.T, want []byte) {
+	t.Helper()
+	got, err := http.ReadResponse(c.in, nil)
+	require.NoError(t, err)
+	text, err := io.ReadAll(got.Body)
+	require.NoError(t, err)
+	require.NoError(t, got.Body.Close())
+	require.True(t, bytes.Equal(want, text))
+}
+
 // onlyConn returns the server's only connection. The loop must be blocked, or the caller must be work of the loop.
 func (h *testbench) onlyConn() (c *clientConn) {
 	for c = range h.server.conns {
@@ -222,12 +233,7 @@
 				closes(h.server)
 			})
 			require.Positive(t, pending)
-			got, err := http.ReadResponse(c.in, nil)
-			require.NoError(t, err)
-			text, err := io.ReadAll(got.Body)
-			require.NoError(t, err)
-			require.NoError(t, got.Body.Close())
-			require.True(t, bytes.Equal(body, text))
+			c.requireBody(t, body)
 		})
 	}
 }
@@ -251,12 +257,7 @@
 			body := bytes.Repeat([]byte("0123456789abcdef"), 1<<20) // more than the kernel buffers
 			h.loop.Do(func() { r.Respond(&http1.Message{Status: 200, Reason: "OK", Body: body}, 1) })
 			h.loop.Do(func() { closes(h.server) })
-			got, err := http.ReadResponse(c.in, nil)
-			require.NoError(t, err)
-			text, err := io.ReadAll(got.Body)
-			require.NoError(t, err)
-			require.NoError(t, got.Body.Close())
-			require.True(t, bytes.Equal(body, text))
+			c.requireBody(t, body)
 		})
 	}
 }
--- a/policy/shutdown_test.go
+++ b/policy/shutdown_test.go
@@ -16,6 +16,16 @@
 	}
 }
 
+// shutDownWithRequest starts the shutdown of a router that has a non-idempotent request in flight.
+func shutDownWithRequest(t *testing.T) (*fakeFleet, *Request) {
+	t.Helper()
+	f, _ := newFakeFleet(t, nil)
+	request := &Request{Class: f.payment, Timeout: 20 * Second}
+	f.router.RequestArrived(f.now, request)
+	f.router.ShutdownStarted(f.now, 37_000, []*Request{request})
+	return f, request
+}
+
 func TestNewShutdownSchedule_LeavesTimeForHoldUpsBeforeKill(t *testing.T) {
 	for killAfter, want := range map[Time]ShutdownSchedule{
 		37_000:  {ServeUntil: 7_500, LastResponse: 33_500, Kill: 37_000},
@@ -49,10 +59,7 @@
 }
 
 func TestShutdown_RejectsRequestWhoseOnlyAttemptWasNeverSent(t *testing.T) {
-	f, _ := newFakeFleet(t, nil)
-	request := &Request{Class: f.payment, Timeout: 20 * Second}
-	f.router.RequestArrived(f.now, request)
-	f.router.ShutdownStarted(f.now, 37_000, []*Request{request})
+	f, request := shutDownWithRequest(t)
 	f.now = 33_500
 	for i := range f.timers {
 		if f.timers[i].shutdown == cancelUnsentStep {
@@ -69,10 +76,7 @@
 }
 
 func TestShutdown_LimitsAttemptsAndRetriesToTimeLeft(t *testing.T) {
-	f, _ := newFakeFleet(t, nil)
-	request := &Request{Class: f.payment, Timeout: 20 * Second}
-	f.router.RequestArrived(f.now, request)
-	f.router.ShutdownStarted(f.now, 37_000, []*Request{request})
+	f, request := shutDownWithRequest(t)
 	f.now = 30_000
 	f.router.AttemptEnded(f.now, f.attempts[len(f.attempts)-1], ConnectFailed, 0, false, nil)
 	retry := f.attempts[len(f.attempts)-1]
@@ -83,10 +87,7 @@
 }
 
 func TestShutdown_BringsLastResponseForwardOnly(t *testing.T) {
-	f, _ := newFakeFleet(t, nil)
-	request := &Request{Class: f.payment, Timeout: 20 * Second}
-	f.router.RequestArrived(f.now, request)
-	f.router.ShutdownStarted(f.now, 37_000, []*Request{request})
+	f, request := shutDownWithRequest(t)
 	f.router.ShutdownStarted(f.now, 90_000, []*Request{request})
 	require.Equal(t, Time(33_500), f.router.shutdown.deadline)
 	f.now = 100
