Play: the requests seen at hosts are read under their lock

The race detector found the read beside the hosts' goroutines, on a busy machine (load 20): the plays failed by it and not by a request.

--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -170,6 +170,8 @@
 	signals.Wait()
 	clients.Wait()
 	p.log = router.output.String()
+	mu.Lock()
+	defer mu.Unlock()
 	for _, r := range p.requests {
 		r.wasAtAHost = atHosts[r.id]
 	}
