--- a/internal/transport/systemcalls_test.go
+++ b/internal/transport/systemcalls_test.go
@@ -26,8 +26,7 @@
 	return systemCalls{read: failing(syscall.Read), write: failing(syscall.Write)}
 }
 
-// Guards against requests that are never read and responses that are never written after a system call that fails for a moment
-// or transfers a part.
+// Guards against bytes that are never read or written after a system call that fails for a moment or transfers a part.
 func TestConn_TransfersAllDataDespiteTransientErrors(t *testing.T) {
 	for _, errno := range []syscall.Errno{syscall.EINTR, syscall.ENOBUFS, syscall.ENOMEM} {
 		t.Run(errno.Error(), func(t *testing.T) {
