A hold-up at the last responses no longer makes given-up requests count as undecided

Callers got their responses, but a router that was held up for 10 ms or more when the last responses were due logged requests as 'without a decision', counted them in cut_off and exited with 1, as if it were faulty. Cause: the policy gives up in two timers, and the second one, set only when the first has fired late, was due after the net for undecided requests, which had a fixed time. Change: the net's timer is set after the policy's first one has fired, so that it is due after the policy's second one, however long a hold-up lasts. Evidence: TestProxy_ShutdownHeldUpAtLastResponseLeavesNothingUndecided got 1 undecided request before and 0 now, three times in a row.

--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -69,18 +69,23 @@
 		"serve_until", eventloop.Duration(schedule.ServeUntil), "last_response", eventloop.Duration(schedule.LastResponse),
 		"kill", eventloop.Duration(schedule.Kill))
 	p.server.StartDraining(p.lastResponseAt)
-	p.loop.After(schedule.LastResponse, p.server.RefuseArriving)
-	p.loop.After(schedule.LastResponse+giveUpDuration, p.failUnanswered)
 	p.handleEvent(router.ShutdownStarted{KillAfter: schedule.Kill})
+	p.loop.After(schedule.LastResponse+1, p.finishResponses)
 }
 
 // abortShutdown gives up all requests at once.
 func (p *Proxy) abortShutdown() {
 	p.log.Warn("shutdown aborted", "unanswered", p.server.Open())
 	p.lastResponseAt = p.loop.Now()
+	p.handleEvent(router.ShutdownStarted{KillAfter: 0})
+	p.loop.After(1, p.finishResponses)
+}
+
+// finishResponses responds to what the policy does not give up. Its timer is due after the one with which the policy begins to
+// give up requests, so that the policy's next timer is due before failUnanswered, however long the process is held up.
+func (p *Proxy) finishResponses() {
 	p.server.RefuseArriving()
 	p.loop.After(giveUpDuration, p.failUnanswered)
-	p.handleEvent(router.ShutdownStarted{KillAfter: 0})
 }
 
 // awaitDrained waits until all client connections are closed and none can be accepted any more. It reports false if
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"dapplefront/internal/eds"
+	"dapplefront/internal/eventloop"
 	"dapplefront/policy"
 	"dapplefront/router"
 )
@@ -74,3 +75,21 @@
 	_, outcome, _ := c.response()
 	require.Equal(t, "scrapped", outcome)
 }
+
+// Guards against requests that count as undecided because the process is held up when the policy gives them up.
+func TestProxy_ShutdownHeldUpAtLastResponseLeavesNothingUndecided(t *testing.T) {
+	h := startHost(t, 1, 1, func(x exchange) bool { time.Sleep(3 * time.Second); return false })
+	r := newTestbench(t, h)
+	c := r.dial()
+	c.write("POST /quote HTTP/1.1\r\nHost: r\r\nDapplefront-Patience: 1s\r\nContent-Length: 0\r\n\r\n")
+	r.eventually(func() bool { return h.requests.Load() >= 1 })
+	const killAfter = 500 * time.Millisecond
+	undecided := make(chan int, 1)
+	go func() { undecided <- r.router.Shutdown(killAfter, nil) }()
+	lastResponse := eventloop.Duration(policy.NewShutdownSchedule(eventloop.FromDuration(killAfter)).LastResponse)
+	time.Sleep(lastResponse / 2)
+	r.router.Stall(lastResponse)
+	require.Zero(t, <-undecided)
+	require.EqualValues(t, 1, r.router.ShutdownCounts().GivenUp)
+	r.router = nil
+}
