review: sends to a draining host after discovery was down, pushed lists (case 3)

Cause: an independent review of the rule on drains, for an outage of discovery of 8 s where lists are pushed. Done: a case with six routers and twelve hosts. Nothing is fixed.

--- /dev/null
+++ b/review/3/case_test.go
@@ -0,0 +1,16 @@
+//go:build review
+
+package main
+
+import (
+	"os/exec"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestDrainAfterDiscoveryOutage runs the case's script, which exits with 0 if the rule held. review/build.sh comes first.
+func TestDrainAfterDiscoveryOutage(t *testing.T) {
+	output, err := exec.Command("./run.sh").CombinedOutput()
+	require.NoError(t, err, "%s", output)
+}
