Attempts are not sent once their client has disconnected

What callers saw: a router that had stood still sent requests to hosts up to 1.56 s after their clients had closed their connections, and hosts ran them.

Cause: nothing asked, when an attempt is written, whether its client was still connected. The end of the client's stream is handled as work of its own, behind the request, due timers, failures and opened connections.

Why this works: every attempt goes through upstream.Attempt.write, which now asks Request.Allowed; the proxy asks the kernel there, so it does not matter what the loop has handled. The attempt ends as policy.Revoked, which undoes what its start counted, and the request ends as by a disconnection.

--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -149,14 +149,17 @@
 // Closed abandons the responses that are due, because the connection has ended (transport.Session).
 func (c *clientConn) Closed(error) {
 	c.stopReading()
-	c.server.loop.Post(func() {
-		c.state = connClosed
-		delete(c.server.conns, c)
-		for _, p := range c.pending {
-			p.abandon()
-		}
-		c.pending = nil
-	})
+	c.server.loop.Post(c.disconnected)
+}
+
+// disconnected closes the connection and abandons the responses that are due, because the client has disconnected.
+func (c *clientConn) disconnected() {
+	c.close()
+	pending := c.pending
+	c.pending = nil
+	for _, p := range pending {
+		p.abandon()
+	}
 }
 
 func (c *clientConn) stopReading() {
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -34,6 +34,17 @@
 	pending *pendingResponse
 }
 
+// ClientDisconnected reports whether the client has disconnected. It asks the kernel, because the end of the client's stream
+// may have arrived without having been read yet. It must be called from work of the loop.
+func (r *Request) ClientDisconnected() bool {
+	c := r.pending.conn
+	return c.state == connClosed || c.conn.PeerClosed()
+}
+
+// Abandon closes the connection of a client that has disconnected, and abandons all its requests: OnClientDisconnected is
+// called, unless it was called before. It must be called from work of the loop.
+func (r *Request) Abandon() { r.pending.conn.disconnected() }
+
 // requestReceived handles a complete request, whose first byte arrived at startedAt.
 func (s *Server) requestReceived(c *clientConn, m *http1.Message, startedAt policy.Time) {
 	isDraining := s.state >= draining
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -40,16 +41,31 @@
 	}
 	r.hosts = append(r.hosts, a.Host)
 	number, host := a.Attempt, a.Host
-	r.attempts = append(r.attempts, p.pool.Send(host, head, m.Body, m.Method == http.MethodHead, a.Duration,
+	request := upstream.Request{Head: head, Body: m.Body, NoBody: m.Method == http.MethodHead, Allowed: func() error { return p.mayWrite(r) }}
+	r.attempts = append(r.attempts, p.pool.Send(host, request, a.Duration,
 		func(result upstream.Result) { p.attemptEnded(r, number, host, result) }))
 }
 
+// errClientDisconnected is why an attempt is revoked whose client has disconnected.
+var errClientDisconnected = errors.New("the client has disconnected")
+
+// mayWrite returns an error if an attempt of a request must not be written any more, because what it was decided on has
+// changed. Time has passed since the decision if the attempt's connection had to be opened or the process was held up.
+func (p *Proxy) mayWrite(r *request) error {
+	if r.responseDue && r.downstream.ClientDisconnected() {
+		return errClientDisconnected
+	}
+	return nil
+}
+
 // attemptEnded reports the result of an attempt to the router. The first attempt that succeeds provides the client's
 // response.
 func (p *Proxy) attemptEnded(r *request, number int, host uint32, result upstream.Result) {
 	r.outstanding--
 	r.timedOut = result.Outcome == policy.TimedOut
-	if result.Reason != "" && p.log.Enabled(context.Background(), slog.LevelDebug) {
+	if result.Revoked != nil {
+		p.attemptRevoked(r, number, host, result.Revoked)
+	} else if result.Reason != "" && p.log.Enabled(context.Background(), slog.LevelDebug) {
 		p.log.Debug("attempt ended", "request", r.id, "attempt", number, "host", host, "outcome", int(result.Outcome), "reason", result.Reason)
 	}
 	if result.Outcome == policy.Succeeded && r.responseDue {
@@ -71,6 +87,17 @@
 	p.removeIfComplete(r)
 }
 
+// attemptRevoked counts and logs an attempt that was not sent because what it was decided on had changed. If the client has
+// disconnected, the request ends as if the loop had been told so before.
+func (p *Proxy) attemptRevoked(r *request, number int, host uint32, reason error) {
+	p.counts.Revoked++
+	p.log.Info("attempt revoked", "request", r.downstream.ID, "router_id", r.id, "class", r.downstream.Class, "attempt", number, "host", host,
+		"reason", reason, "age", eventloop.Duration(p.loop.Now()-r.downstream.ArrivedAt))
+	if errors.Is(reason, errClientDisconnected) {
+		r.downstream.Abandon()
+	}
+}
+
 // requestHead returns the part of the head that all attempts of a request share: everything except the attempt's number
 // and its timeout.
 func (p *Proxy) requestHead(m *http1.Message, d *downstream.Request) []byte {
@@ -122,7 +149,7 @@
 	}
 	head := http1.AppendField([]byte("GET "+check.Path+" HTTP/1.1\r\n"), "Host", p.address.String())
 	head = http1.AppendField(head, upstream.RouterHeader, p.config.Name)
-	p.pool.Send(host, head, nil, false, eventloop.FromDuration(check.Timeout), func(result upstream.Result) {
+	p.pool.Send(host, upstream.Request{Head: head}, eventloop.FromDuration(check.Timeout), func(result upstream.Result) {
 		if result.Response != nil {
 			result.Response.Drop()
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -92,6 +92,7 @@
 	ClientsGone    uint64 `json:"Left"`
 	Attempts       uint64 `json:"Sends"`
 	ShadowAttempts uint64 `json:"Copies"`
+	Revoked        uint64 `json:"Revoked"` // attempts that are included in Attempts but were not sent, because what they were decided on had changed
 }
 
 // Start starts a router that uses this project's own protocols for discovery and the controllers. The router is
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -243,18 +243,6 @@
 // Remote returns the peer's address.
 func (c *Conn) Remote() net.Addr { return c.tcp.RemoteAddr() }
 
-// Quiet reports whether the connection seems open and has nothing to read: neither data nor the peer's end of the stream
-// has arrived.
-func (c *Conn) Quiet() bool {
-	quiet := false
-	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
-}
-
 // readBuffers contains the buffers that readers use while there is data to read.
 var readBuffers = sync.Pool{New: func() any { return new([readBufferSize]byte) }}
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -18,6 +18,16 @@
 // to be in flight at once.
 const giveUpDelay = ticksPerMs
 
+// Request is a request that a pool sends to a host. The caller must not use Head and Body until the attempt has ended.
+type Request struct {
+	Head   []byte // without the timeout header and the end of the head, which are added when the request is written
+	Body   []byte
+	NoBody bool // the response has no body (HEAD)
+	// Allowed is asked immediately before the request is written, possibly long after Send: it returns an error if the
+	// request must not be sent any more. The attempt then ends as Revoked. nil means always allowed.
+	Allowed func() error
+}
+
 // Result describes how an attempt ended.
 type Result struct {
 	Outcome  policy.Outcome
@@ -25,21 +35,20 @@
 	Response *http1.Message     // set with Succeeded, Failed and Rejected if the host sent a valid response; Drop it after use
 	Load     *policy.LoadReport // the response's load report; nil if it has none
 	Reason   string             // error text for the log; empty if there was no error
+	Revoked  error              // the error of Request.Allowed, set with policy.Revoked
 }
 
 // Attempt is one attempt of a request on a host.
 //
-//	state           on timeout                            on Cancel
-//	attemptWaiting  ends as ConnectFailed                 ends as NotSent
-//	attemptWritten  closes its connection, then TimedOut  continues
-//	attemptEnded    -                                     -
+//	state           on timeout                            on Cancel        if Request.Allowed returns an error
+//	attemptWaiting  ends as ConnectFailed                 ends as NotSent  ends as Revoked
+//	attemptWritten  closes its connection, then TimedOut  continues        -
+//	attemptEnded    -                                     -                -
 type Attempt struct {
 	pool      *Pool
 	state     attemptState
 	conn      *upstreamConn // nil before the attempt has a connection, and after its end
-	head      []byte
-	body      []byte
-	noBody    bool
+	request   Request
 	startedAt policy.Time
 	deadline  policy.Time
 	timer     *eventloop.Timer
@@ -68,20 +77,18 @@
 	}
 	c, remaining := a.conn, a.deadline-a.pool.loop.Now()
 	if !c.current() || remaining < minWriteTime {
-		c.attempt = nil
-		a.end(Result{Outcome: policy.NotSent, Reason: "the host was removed or its address changed, or no time is left"})
-		c.release()
+		a.endUnsent(Result{Outcome: policy.NotSent, Reason: "the host was removed or its address changed, or no time is left"})
+		return
+	}
+	if err := a.allowed(); err != nil {
+		a.endUnsent(Result{Outcome: policy.Revoked, Reason: err.Error(), Revoked: err})
 		return
 	}
 	c.mu.Lock()
-	c.reader.Expect(a.noBody)
+	c.reader.Expect(a.request.NoBody)
 	c.mu.Unlock()
 	a.state = attemptWritten
-	protocol := a.pool.config.Protocol
-	a.head = append(append(a.head, protocol.Timeout...), ": "...)
-	a.head = append(strconv.AppendInt(a.head, int64(remaining/ticksPerMs), 10), protocol.TimeoutUnit...)
-	a.head = append(a.head, "\r\n\r\n"...)
-	nothingSent, err := c.conn.Write(a.head, a.body)
+	nothingSent, err := c.conn.Write(a.completeHead(remaining), a.request.Body)
 	if err != nil && nothingSent {
 		c.attempt = nil
 		a.end(Result{Outcome: policy.NotSent, Reason: "the connection was closed: " + err.Error()})
@@ -89,6 +96,30 @@
 	} // if a part was written before the error, Closed is called and ends the attempt
 }
 
+// allowed returns an error if the request must not be sent any more.
+func (a *Attempt) allowed() error {
+	if a.request.Allowed == nil {
+		return nil
+	}
+	return a.request.Allowed()
+}
+
+// completeHead returns the head with the timeout header and the end of the head.
+func (a *Attempt) completeHead(timeout policy.Time) []byte {
+	protocol := a.pool.config.Protocol
+	head := append(append(a.request.Head, protocol.Timeout...), ": "...)
+	head = append(strconv.AppendInt(head, int64(timeout/ticksPerMs), 10), protocol.TimeoutUnit...)
+	return append(head, "\r\n\r\n"...)
+}
+
+// endUnsent ends an attempt that has a connection on which nothing was written. The connection can be reused.
+func (a *Attempt) endUnsent(r Result) {
+	c := a.conn
+	c.attempt = nil
+	a.end(r)
+	c.release()
+}
+
 // timeout ends an attempt whose deadline has passed.
 func (a *Attempt) timeout() {
 	switch a.state {
@@ -126,7 +157,7 @@
 			c.release()
 		}
 	}
-	a.head, a.body, a.conn = nil, nil, nil
+	a.request, a.conn = Request{}, nil
 	r.Latency = a.pool.loop.Now() - a.startedAt
 	done(r)
 }
--- a/internal/upstream/config.go
+++ b/internal/upstream/config.go
@@ -5,6 +5,7 @@
 // An attempt has one of these outcomes. Each states only what is certain; this is how DefaultProtocol maps responses:
 //
 //	NotSent         no byte was passed to the kernel, for example because the attempt was canceled or the first write failed
+//	Revoked         Request.Allowed returned an error when the request was about to be written; no byte was
 //	ConnectFailed   no connection could be opened before the timeout, or the limit on connections was reached
 //	Succeeded       a response with a status below 500, other than 101
 //	Rejected        503 with Dapplefront-Unseen: 1: the host has not started the request
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -108,13 +108,12 @@
 	})
 }
 
-// Send starts an attempt with head and body. The caller must not use them until done is called. done is called once, from
-// work of the loop, and never before Send has returned. The timeout header and the end of the head are appended when the
-// request is written, because opening a connection may have taken a part of the timeout. noBody means that the response
-// has no body (HEAD).
-func (p *Pool) Send(id uint32, head, body []byte, noBody bool, timeout policy.Time, done func(Result)) *Attempt {
+// Send starts an attempt of a request on a host. done is called once, from work of the loop, and never before Send has
+// returned. The timeout header states the time that is left when the request is written, because opening a connection may
+// have taken a part of the timeout.
+func (p *Pool) Send(id uint32, request Request, timeout policy.Time, done func(Result)) *Attempt {
 	now := p.loop.Now()
-	a := &Attempt{pool: p, head: head, body: body, noBody: noBody, startedAt: now, deadline: now + timeout, done: done}
+	a := &Attempt{pool: p, request: request, startedAt: now, deadline: now + timeout, done: done}
 	h := p.hosts[id]
 	if h == nil || p.closed || timeout <= 0 {
 		a.endLater(Result{Outcome: policy.NotSent, Reason: "unknown host, pool closed or no time left"})
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -16,6 +16,7 @@
 	ConnectionLost                // the connection dropped; the request may have been executed
 	Canceled                      // the router stopped waiting; the request may have been executed
 	NotSent                       // the attempt never left the router
+	Revoked                       // the attempt never left the router, because what it was decided on had changed
 )
 
 // Attempt is one attempt to have a host execute a request.
@@ -31,6 +32,8 @@
 	hostLoad        float64 // estimated number of requests in flight at the host when the attempt started
 	shadowTimeout   Time    // timeout of a shadow attempt that is sent before its primary attempt
 	responseStarted bool
+	history         *[]trafficEvent // the list of trafficHistory that contains its start
+	countsAsRetry   bool            // counts against the retry budget
 }
 
 // IsShadow reports whether the attempt was sent alongside the primary attempt or before it, to judge the canary or to
@@ -48,7 +51,7 @@
 
 // send starts an attempt with its timeout. Where hedging is allowed, it also sets the timer after which the attempt
 // counts as slow and is hedged.
-func (r *Router) send(request *Request, host *Host, role attemptRole) {
+func (r *Router) send(request *Request, host *Host, role attemptRole) *Attempt {
 	class := request.Class
 	attempt := r.startAttempt(request, host, role)
 	timeout := r.deadline(request) - r.now
@@ -65,6 +68,7 @@
 		timeout = min(timeout, slowAfter)
 	}
 	r.effects.Send(attempt, timeout)
+	return attempt
 }
 
 // slowAfter is the age at which an attempt counts as slow: longer than 19 in 20 of the last successes took, with some
@@ -88,11 +92,11 @@
 	}
 	event := trafficEvent{at: r.now, class: request.Class}
 	host.attempts = appendBounded(host.attempts, event, keptHostEvents)
+	attempt.history = &r.traffic.canaryAttempts
 	if r.isBaseline(host) {
-		r.traffic.baselineAttempts = appendBounded(r.traffic.baselineAttempts, event, keptFleetEvents)
-	} else {
-		r.traffic.canaryAttempts = appendBounded(r.traffic.canaryAttempts, event, keptFleetEvents)
+		attempt.history = &r.traffic.baselineAttempts
 	}
+	*attempt.history = appendBounded(*attempt.history, event, keptFleetEvents)
 	return attempt
 }
 
@@ -106,13 +110,17 @@
 func (r *Router) AttemptEnded(now Time, attempt *Attempt, outcome Outcome, latency Time, done bool, load *LoadReport) {
 	request := attempt.Request
 	r.now = now
-	r.finishAttempt(attempt, outcome, load)
-	r.recordOutcome(attempt, latency)
+	if outcome == Revoked {
+		r.undoStart(attempt)
+	} else {
+		r.finishAttempt(attempt, outcome, load)
+		r.recordOutcome(attempt, latency)
+	}
 	event := attemptMayHaveExecuted
 	switch {
 	case done || outcome == Succeeded:
 		event = requestEnded
-	case outcome == Rejected || outcome == ConnectFailed || outcome == NotSent:
+	case outcome == Rejected || outcome == ConnectFailed || outcome == NotSent || outcome == Revoked:
 		event = attemptNotExecuted
 	case request.firstAmbiguous == nil || attempt.sentAt < request.firstAmbiguous.sentAt:
 		request.firstAmbiguous = attempt
@@ -137,12 +145,7 @@
 	if outcome == Succeeded {
 		class.ownStats.add(admissionStats{at: r.now, usualLatency: float64(class.usualLatency), latency: float64(r.now - attempt.sentAt)})
 	}
-	before := len(host.inFlight)
-	host.inFlight = slices.DeleteFunc(host.inFlight, func(x *Attempt) bool { return x == attempt })
-	counts := host.health == healthy && r.isBaseline(host)
-	if counts {
-		r.fleet.inFlight[r.localityOf(host)] -= before - len(host.inFlight)
-	}
+	counts := r.removeInFlight(attempt)
 	if load != nil {
 		if host.load, host.loadAt = load, r.now; load.ActiveRequests >= 0 {
 			r.load.reported = appendBounded(r.load.reported, load.ActiveRequests, keptLoadReports)
@@ -162,6 +165,31 @@
 	r.recordEnd(event)
 }
 
+// removeInFlight removes an attempt from those in flight at its host. It reports whether the host is a healthy baseline host.
+func (r *Router) removeInFlight(attempt *Attempt) (isHealthyBaseline bool) {
+	host := attempt.Host
+	before := len(host.inFlight)
+	host.inFlight = slices.DeleteFunc(host.inFlight, func(x *Attempt) bool { return x == attempt })
+	isHealthyBaseline = host.health == healthy && r.isBaseline(host)
+	if isHealthyBaseline {
+		r.fleet.inFlight[r.localityOf(host)] -= before - len(host.inFlight)
+	}
+	return isHealthyBaseline
+}
+
+// undoStart undoes startAttempt for an attempt that was revoked. It is no evidence about its host, the path to it or
+// its build, and does not count against the retry budget.
+func (r *Router) undoStart(attempt *Attempt) {
+	host, class := attempt.Host, attempt.Request.Class
+	attempt.outcome = Revoked
+	r.removeInFlight(attempt)
+	host.attempts = withoutEvent(host.attempts, attempt.sentAt, class)
+	*attempt.history = withoutEvent(*attempt.history, attempt.sentAt, class)
+	if attempt.countsAsRetry {
+		r.traffic.retries = withoutEvent(r.traffic.retries, attempt.sentAt, class)
+	}
+}
+
 // recordEnd adds the end of an attempt to the traffic history, to the state of its network path and to the completed
 // work.
 func (r *Router) recordEnd(event trafficEvent) {
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -32,10 +32,11 @@
 	if host == nil {
 		return false
 	}
-	if last.role != shadowFirstAttempt {
+	countsAsRetry := last.role != shadowFirstAttempt
+	if countsAsRetry {
 		r.traffic.retries = appendBounded(r.traffic.retries, trafficEvent{at: r.now, class: request.Class}, keptRetryEvents)
 	}
-	r.send(request, host, retryAttempt)
+	r.send(request, host, retryAttempt).countsAsRetry = countsAsRetry
 	return true
 }
 
--- a/policy/traffic.go
+++ b/policy/traffic.go
@@ -78,6 +78,17 @@
 	return append(all, x)
 }
 
+// withoutEvent returns the events without one that has the given time and class. The events are in the order of their
+// times.
+func withoutEvent(events []trafficEvent, at Time, class *Class) []trafficEvent {
+	for i := len(events) - 1; i >= 0 && events[i].at >= at; i-- {
+		if events[i].at == at && events[i].class == class {
+			return slices.Delete(events, i, i+1)
+		}
+	}
+	return events
+}
+
 // upperQuantile is the value above which the given share of all values lies.
 func upperQuantile[T cmp.Ordered](all []T, share float64) T {
 	all = slices.Clone(all)
--- a/record/describe.go
+++ b/record/describe.go
@@ -12,7 +12,7 @@
 func milliseconds(t policy.Time) float64 { return float64(t) / 10 }
 
 // outcomeTexts are the descriptions of the values of policy.Outcome, indexed by value.
-var outcomeTexts = []string{"in flight", "succeeded", "failed", "rejected", "timed out", "connection failed", "connection lost", "canceled", "not sent"}
+var outcomeTexts = []string{"in flight", "succeeded", "failed", "rejected", "timed out", "connection failed", "connection lost", "canceled", "not sent", "revoked"}
 
 func outcomeText(o policy.Outcome) string {
 	return outcomeTexts[min(max(0, int(o)), len(outcomeTexts)-1)]
