A client's disconnecting ends an attempt of which a part is not sent yet

What callers saw: a client closes its connection while a slow host has read only a part of its request's body; the host gets the rest when it reads on, and runs the request for nobody. An attempt counts by its last byte.

Cause: Attempt.Cancel left an attempt alone once its first byte was written, whether or not its last one had left the router.

Why this works: on a disconnection, Conn.Unsent asks how many bytes the router still buffers and how many the kernel has not sent (SIOCOUTQNSD). If there are any, the last byte has not left, and a reset discards it. The attempt ends as NotSent where hosts start complete requests only, else as Canceled, and counts as no evidence about its host.

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -54,7 +54,9 @@
 func (p *Proxy) clientDisconnected(r *request) {
 	r.responseDue = false
 	p.counts.ClientsGone++
-	r.cancelAttempts()
+	for _, a := range r.attempts {
+		a.CancelIncomplete()
+	}
 	p.handleEvent(router.ClientDisconnected{RequestID: r.id})
 	p.removeIfComplete(r)
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -193,6 +195,18 @@
 	return bytes, since
 }
 
+// Unsent returns how many of the written bytes have certainly not been sent to the peer: those that the kernel has not
+// accepted, and those that wait in the kernel until the peer reads.
+func (c *Conn) Unsent() int {
+	inKernel := 0
+	_ = c.raw.Control(func(fd uintptr) { // without a number from the kernel, its bytes may have been sent
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD); err == nil {
+			inKernel = n
+		}
+	})
+	return int(c.unsent.Load()) + inKernel
+}
+
 // CloseWrite shuts down the sending direction once all written data has been sent. Later writes fail. The peer can
 // continue to send: if this side closed the connection completely, bytes from the peer would make the kernel reset it
 // and discard a response that the peer has not read yet.
@@ -240,6 +254,14 @@
 	}
 }
 
+// Abort resets the connection: bytes that have not left the kernel are discarded. The session's Closed is called later.
+func (c *Conn) Abort() {
+	if !c.closed.Swap(true) {
+		_ = c.tcp.SetLinger(0)
+		_ = c.tcp.Close()
+	}
+}
+
 // Remote returns the peer's address.
 func (c *Conn) Remote() net.Addr { return c.tcp.RemoteAddr() }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// CancelIncomplete ends an attempt whose request has not been sent completely, so that its host can't receive the rest. If a
+// part was sent, it resets the connection, and the attempt ends as NotSent if hosts start only complete requests, otherwise as
+// Canceled. It does nothing after the last byte was sent.
+func (a *Attempt) CancelIncomplete() {
+	if a.state != attemptWritten {
+		a.Cancel()
+		return
+	}
+	c := a.conn
+	if c.conn.Unsent() == 0 {
+		return
+	}
+	c.attempt = nil
+	c.markClosed()
+	c.conn.Abort()
+	outcome := policy.Canceled
+	if a.pool.config.Protocol.StartsWhenComplete {
+		outcome = policy.NotSent
+	}
+	a.end(Result{Outcome: outcome, Reason: "canceled before the last byte was sent"})
+}
+
 // write writes the request to its connection, which is open.
 func (a *Attempt) write() {
 	if a.state == attemptEnded || a.conn == nil || a.conn.attempt != a {
