No second attempt is sent after a configuration that forbids it

What callers saw: 0.2 to 0.5 s after a SIGHUP whose file forbids two attempts of a request at once, requests sent before got a second one beside the first.

Cause: the limit was asked when a hedged attempt's timer was set, not when it fired; a retry did not wait for a shadow attempt; and an attempt whose connection was being opened during the change was written after it.

Why this works: the timer and the retry ask the limits in force, and so does policy.Router.CheckSend, which the proxy calls where every attempt is written. An attempt that may not go ends as Revoked; its request waits for the other attempt, which keeps its timeout, and so is answered in time.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -41,7 +42,7 @@
 	}
 	r.hosts = append(r.hosts, a.Host)
 	number, host := a.Attempt, a.Host
-	request := upstream.Request{Head: head, Body: m.Body, NoBody: m.Method == http.MethodHead, Allowed: func() error { return p.mayWrite(r) }}
+	request := upstream.Request{Head: head, Body: m.Body, NoBody: m.Method == http.MethodHead, Allowed: func() error { return p.mayWrite(r, number) }}
 	r.attempts = append(r.attempts, p.pool.Send(host, request, a.Duration,
 		func(result upstream.Result) { p.attemptEnded(r, number, host, result) }))
 }
@@ -51,11 +52,11 @@
 
 // mayWrite returns an error if an attempt of a request must not be written any more, because what it was decided on has
 // changed. Time has passed since the decision if the attempt's connection had to be opened or the process was held up.
-func (p *Proxy) mayWrite(r *request) error {
+func (p *Proxy) mayWrite(r *request, number int) error {
 	if r.responseDue && r.downstream.ClientDisconnected() {
 		return errClientDisconnected
 	}
-	return nil
+	return p.router.CheckSend(r.id, number, slices.ContainsFunc(r.attempts, (*upstream.Attempt).InFlight))
 }
 
 // attemptEnded reports the result of an attempt to the router. The first attempt that succeeds provides the client's
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -63,6 +63,9 @@
 	attemptEnded
 )
 
+// InFlight reports whether the request was written to a connection that has not ended for the attempt.
+func (a *Attempt) InFlight() bool { return a.state == attemptWritten }
+
 // Cancel ends an attempt as NotSent if no byte of it has been written; otherwise it does nothing.
 func (a *Attempt) Cancel() {
 	if a.state == attemptWaiting {
--- a/policy/config.go
+++ b/policy/config.go
@@ -31,7 +31,8 @@
 	OverQuotaValueShare float64 // value of a request beyond its tenant's quota, as a share of its full value
 }
 
-// ConfigChanged replaces the settings of a running router. Earlier attempts and observations still count.
+// ConfigChanged replaces the settings of a running router. Earlier attempts and observations still count. Attempts that were
+// sent continue; CheckSend applies the new settings to those that were not, and TimerFired to timers that were set before.
 func (r *Router) ConfigChanged(now Time, routers, rank int, limits Limits, release ReleaseConfig) {
 	r.now = now
 	if r.limits.PushedDiscovery && !limits.PushedDiscovery { // the endpoint list must be polled from now on
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -41,11 +41,13 @@
 }
 
 // continueAfterFailure decides what follows a failed attempt: a retry, waiting for an attempt in flight, or the final
-// response.
+// response. A retry does not wait for a shadow attempt, unless two attempts at once are not allowed.
 func (r *Router) continueAfterFailure(request *Request) {
 	pending := func(attempt *Attempt) bool { return attempt.outcome == Pending }
-	pendingNoShadow := func(attempt *Attempt) bool { return attempt.outcome == Pending && attempt.role != shadowAttempt }
-	if !slices.ContainsFunc(request.Attempts, pendingNoShadow) && !r.retry(request) &&
+	precedesRetry := func(attempt *Attempt) bool {
+		return attempt.outcome == Pending && (attempt.role != shadowAttempt || !r.limits.AllowHedging)
+	}
+	if !slices.ContainsFunc(request.Attempts, precedesRetry) && !r.retry(request) &&
 		!slices.ContainsFunc(request.Attempts, pending) {
 		r.giveUp(request)
 	}
--- a/policy/timer.go
+++ b/policy/timer.go
@@ -28,7 +28,7 @@
 		r.checkRemotePath()
 		r.updateVote()
 		r.effects.SetTimer(reviewInterval, timer)
-	case timer.attempt.outcome == Pending && !timer.attempt.responseStarted:
+	case timer.attempt.outcome == Pending && !timer.attempt.responseStarted && r.limits.AllowHedging: // allowed when the timer was set
 		r.handleRequestEvent(timer.attempt.Request, attemptSlow)
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -173,6 +173,17 @@
 	}
 }
 
+// CheckSend returns an error if an attempt must not be sent any more, because what it was decided on has changed since the
+// SendAttempt action. It changes nothing; an attempt that is not sent is reported by an AttemptEnded event with the outcome
+// policy.Revoked. otherInFlight reports whether another attempt of the request was sent and has not ended.
+func (r *Router) CheckSend(requestID string, attempt int, otherInFlight bool) error {
+	q := r.requests[requestID]
+	if q == nil || attempt < 0 || attempt >= len(q.policy.Attempts) {
+		return nil
+	}
+	return r.policy.CheckSend(q.policy.Attempts[attempt], otherInFlight)
+}
+
 // unanswered returns the requests that have no final response, in the order of their arrival and then of their IDs.
 func (r *Router) unanswered() (requests []*policy.Request) {
 	for _, q := range r.requests {
