--- a/policy/exposure.go
+++ b/policy/exposure.go
@@ -24,6 +24,12 @@
 	return exposureLimit{applies: true, stage: s.status.Stage, share: s.status.ExposureCap}
 }
 
+// forbids reports whether the limit allows no attempt of a class at all.
+func (l exposureLimit) forbids(class *Class, guardedStages int) bool {
+	isGuarded := class.Idempotency != Idempotent && l.stage < guardedStages
+	return l.applies && (l.share <= 0 || isGuarded)
+}
+
 // withinExposure reports whether one more attempt of the class at a build stays within the build's limit. Attempts are
 // counted over slightly more than the window and requests over slightly less. After a start, the router doesn't know
 // what an earlier process of this router sent, so it sends no attempt to a limited build until one window has passed.
@@ -33,8 +39,7 @@
 	if !limit.applies {
 		return true
 	}
-	guarded := class.Idempotency != Idempotent && limit.stage < config.GuardedStages
-	if limit.share <= 0 || r.now-r.startedAt < config.ExposureWindow+margin || guarded {
+	if limit.forbids(class, config.GuardedStages) || r.now-r.startedAt < config.ExposureWindow+margin {
 		return false
 	}
 	if !config.ExposurePerClass {
