After a standstill, attempts wait for what discovery and the feed have written

What callers saw: nothing reported. Found on the paths related to attempts for clients gone: a router that stood still beyond the grace sends requests to a host whose drain was written to it meanwhile.

Cause: which connection's reader runs first after a standstill is up to the scheduler, so requests and due timers overtake the endpoint list.

Why this works: when the event loop is 50 ms late or more, Attempt.write waits, 0.1 s at most, until the watch and the feed have nothing unread or in processing; CheckSend then asks what holds by that time.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -60,6 +60,9 @@
 // SetAddress starts to watch another address immediately. The old watch is read until the new one has responded.
 func (w *Watch) SetAddress(address string) { w.stream.SetAddress(address) }
 
+// Pending reports whether changes of the list may have arrived that the handler has not handled.
+func (w *Watch) Pending() bool { return w.stream.Pending() }
+
 // Address returns the address that is watched.
 func (w *Watch) Address() string { return w.stream.Address() }
 
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -35,6 +35,7 @@
 	deferred []func()
 	stats    Stats
 	lag      lagPeak
+	delay    time.Duration // from when the running work was due to its start
 
 	testWallStep policy.Time // replaces the actual one in tests, unless it is 0
 }
@@ -112,6 +113,7 @@
 // the time at the end.
 func (l *Loop) runWork(work func(), delays *Histogram, dueAt, now time.Duration) (end time.Duration) {
 	delays.Add(now - dueAt)
+	l.delay = now - dueAt
 	work()
 	for i := 0; i < len(l.deferred) && !l.closed.Load(); i++ { // deferred work may defer more
 		l.deferred[i]()
@@ -135,6 +137,10 @@
 // with its age. Work that is due now may be late by that much. Lag must be called from the loop's work.
 func (l *Loop) Lag() policy.Time { return FromDuration(l.lag.at(l.clock.elapsed())) }
 
+// RecentDelay returns by how much the running work started late or, if that is longer, the lag. If the process was not
+// scheduled for a while, it is long for the first work after that. RecentDelay must be called from the loop's work.
+func (l *Loop) RecentDelay() policy.Time { return max(FromDuration(l.delay), l.Lag()) }
+
 // QueueLength returns the number of queued pieces of work, not counting the batch that is running.
 func (l *Loop) QueueLength() int {
 	l.mu.Lock()
--- a/internal/jsonstream/stream.go
+++ b/internal/jsonstream/stream.go
@@ -39,9 +39,13 @@
 
 // NewHTTPClient returns a client that uses each connection for one request, follows no redirects and doesn't compress, so
 // that the outcome of each request is unambiguous.
-func NewHTTPClient() *http.Client {
+func NewHTTPClient() *http.Client { return newHTTPClient(dialer.DialContext) }
+
+var dialer = &net.Dialer{Timeout: time.Second}
+
+func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: 4 << 10,
-		WriteBufferSize: 2 << 10, MaxResponseHeaderBytes: 16 << 10, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
+		WriteBufferSize: 2 << 10, MaxResponseHeaderBytes: 16 << 10, DialContext: dial},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
@@ -57,6 +61,9 @@
 	closed      bool
 	wg          sync.WaitGroup // goroutines of the connections
 
+	socketsMu sync.Mutex
+	sockets   map[*watchedConn]bool // open TCP connections
+
 	handling  sync.Mutex // held while the handler is called
 	attempted atomic.Bool
 }
@@ -69,7 +76,48 @@
 
 // New returns a stream that is not connected. Open connects it.
 func New(address string, t Timeouts, h Handler) *Stream {
-	return &Stream{handler: h, timeouts: t, client: NewHTTPClient(), address: address}
+	s := &Stream{handler: h, timeouts: t, address: address, sockets: map[*watchedConn]bool{}}
+	s.client = newHTTPClient(s.dial)
+	return s
+}
+
+// dial opens a TCP connection that Pending asks until it is closed.
+func (s *Stream) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	socket, err := newWatchedConn(tcp, s.socketClosed)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	s.socketsMu.Lock()
+	defer s.socketsMu.Unlock()
+	s.sockets[socket] = true
+	return socket, nil
+}
+
+func (s *Stream) socketClosed(socket *watchedConn) {
+	s.socketsMu.Lock()
+	defer s.socketsMu.Unlock()
+	delete(s.sockets, socket)
+}
+
+// Pending reports whether values, or parts of them, may have arrived that the handler has not handled.
+func (s *Stream) Pending() bool {
+	s.socketsMu.Lock()
+	defer s.socketsMu.Unlock()
+	for socket := range s.sockets {
+		if socket.pending() {
+			return true
+		}
+	}
+	return false
 }
 
 // Address returns the address of the stream.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,7 +39,9 @@
 			n.platform = platform.Open(c.Platform.Address, eventloop.Duration(c.Router.Router.Release.VoteTimeout), n.watch.HostID, handler)
 			return n.platform, nil
 		},
-		Ready: func() bool { return n.watch.Attempted() && n.platform.Attempted() }}, c.Router, log, nil)
+		Ready:        func() bool { return n.watch.Attempted() && n.platform.Attempted() },
+		InputPending: func() bool { return n.watch.Pending() || n.platform.Pending() },
+	}, c.Router, log, nil)
 	return n, err
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -54,6 +54,9 @@
 // Address returns the address in use.
 func (c *Client) Address() string { return c.feed.Address() }
 
+// Pending reports whether messages of the feed may have arrived that the handler has not handled.
+func (c *Client) Pending() bool { return c.feed.Pending() }
+
 // Attempted reports whether the first attempt to open the feed has received a response or failed.
 func (c *Client) Attempted() bool { return c.feed.Attempted() }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -42,7 +42,8 @@
 	}
 	r.hosts = append(r.hosts, a.Host)
 	number, host := a.Attempt, a.Host
-	request := upstream.Request{Head: head, Body: m.Body, NoBody: m.Method == http.MethodHead, Allowed: func() error { return p.mayWrite(r, number) }}
+	request := upstream.Request{Head: head, Body: m.Body, NoBody: m.Method == http.MethodHead, Ready: p.inputHandled,
+		Allowed: func() error { return p.mayWrite(r, number) }}
 	r.attempts = append(r.attempts, p.pool.Send(host, request, a.Duration,
 		func(result upstream.Result) { p.attemptEnded(r, number, host, result) }))
 }
@@ -59,6 +60,15 @@
 	return p.router.CheckSend(r.id, number, slices.ContainsFunc(r.attempts, (*upstream.Attempt).InFlight))
 }
 
+// heldUpDelay is the event loop's delay from which the process counts as having been held up.
+const heldUpDelay = 50 * policy.Second / 1000
+
+// inputHandled reports whether attempts may be written without waiting for input from endpoint discovery or the release
+// controllers: it returns false while the process has been held up and input has arrived meanwhile that was not handled.
+func (p *Proxy) inputHandled() bool {
+	return p.inputPending == nil || p.loop.RecentDelay() < heldUpDelay || !p.inputPending()
+}
+
 // attemptEnded reports the result of an attempt to the router. The first attempt that succeeds provides the client's
 // response.
 func (p *Proxy) attemptEnded(r *request, number int, host uint32, result upstream.Result) {
--- a/internal/proxy/protocols.go
+++ b/internal/proxy/protocols.go
@@ -35,6 +35,9 @@
 	ReleaseController func(controlclient.Handler) (ReleaseClient, error)
 	// Ready reports whether the readiness path responds with 200; if it is nil, the path always does.
 	Ready func() bool
+	// InputPending reports whether input from endpoint discovery or the release controllers may have arrived that has not been
+	// handled; if it is nil, that is not known.
+	InputPending func() bool
 }
 
 // defaultProtocols returns this project's own protocols.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -55,8 +55,9 @@
 	faults   FaultInjector  // nil if no faults are injected
 	records  *record.Writer // nil if events are not recorded
 
-	discovery Discovery
-	releases  ReleaseClient
+	discovery    Discovery
+	releases     ReleaseClient
+	inputPending func() bool // Protocols.InputPending, or nil
 
 	configMu sync.Mutex // held while the configuration changes, and while the gossip socket is closed permanently
 	config   *routerconfig.Config
@@ -106,7 +107,8 @@
 func StartWith(protocols Protocols, c *routerconfig.Config, log *slog.Logger, faults FaultInjector) (_ *Proxy, err error) {
 	p := &Proxy{config: c, log: log.With("router", c.Name), loop: eventloop.New(), faults: faults, requests: map[string]*request{},
 		endpoints: map[uint32]eds.Host{}, startTimes: startTimes{}, outcomes: map[int]map[string]int{}, budget: http1.NewBudget(int64(c.MaxBodyBytes)),
-		cacheUpdates: make(chan []eds.Host, 1), cacheWriterDone: make(chan struct{}), protocol: c.Upstream.ProtocolOrDefault()}
+		cacheUpdates: make(chan []eds.Host, 1), cacheWriterDone: make(chan struct{}), protocol: c.Upstream.ProtocolOrDefault(),
+		inputPending: protocols.InputPending}
 	var closers []func() // close what has been opened so far; called in reverse order after an error
 	defer func() {
 		if err != nil {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -26,8 +26,16 @@
 	// Allowed is asked immediately before the request is written, possibly long after Send: it returns an error if the
 	// request must not be sent any more. The attempt then ends as Revoked. nil means always allowed.
 	Allowed func() error
+	// Ready is asked before Allowed. While it returns false, the write is postponed, but not longer than maxPostponement. nil
+	// means always ready.
+	Ready func() bool
 }
 
+const (
+	readyPollInterval = ticksPerMs
+	maxPostponement   = 100 * ticksPerMs
+)
+
 // Result describes how an attempt ended.
 type Result struct {
 	Outcome  policy.Outcome
@@ -51,6 +59,7 @@
 	request   Request
 	startedAt policy.Time
 	deadline  policy.Time
+	postponed policy.Time // by how much the write has been postponed
 	timer     *eventloop.Timer
 	done      func(Result)
 }
@@ -105,6 +114,11 @@
 		a.endUnsent(Result{Outcome: policy.NotSent, Reason: "the host was removed or its address changed, or no time is left"})
 		return
 	}
+	if a.request.Ready != nil && !a.request.Ready() && a.postponed < maxPostponement {
+		a.postponed += readyPollInterval
+		a.pool.loop.After(readyPollInterval, a.write)
+		return
+	}
 	if err := a.allowed(); err != nil {
 		a.endUnsent(Result{Outcome: policy.Revoked, Reason: err.Error(), Revoked: err})
 		return
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -299,3 +299,24 @@
 	require.Equal(t, "second", <-got)
 	require.EqualValues(t, 2, r.accepted.Load(), "the second request has a connection of its own")
 }
+
+// Guards against an attempt that is written although the router is not ready, and against one that is never written.
+func TestPool_PostponesWriteUntilReady(t *testing.T) {
+	for name, readyAfter := range map[string]int{"becomes ready": 20, "never ready": 1 << 30} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestbench(t)
+			got, asked, startedAt := make(chan string, 1), 0, r.loop.Now()
+			ready := func() bool { asked++; return asked > readyAfter }
+			r.loop.Do(func() {
+				r.pool.Send(1, Request{Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\n"), Ready: ready}, attemptTimeout, func(x Result) {
+					got <- fmt.Sprint(x.Outcome)
+					x.Response.Drop()
+				})
+			})
+			request := <-r.requests
+			require.GreaterOrEqual(t, r.loop.Now()-startedAt, min(policy.Time(readyAfter)*readyPollInterval, maxPostponement))
+			request.respond("x")
+			require.Equal(t, fmt.Sprint(policy.Succeeded), <-got)
+		})
+	}
+}
