Controller test waits for the call that it is about

TestServer_CloseRespondsToCallsInFlight failed once in a whole run of the suite. Trace: it closes the server on the first slow write to the log, which may be the controller's own entry of joining as a member; the call then finds the listener closed (reset, refused or EOF while connecting).

The wrong assumption is in the test's slow log: it now slows and reports writes of the patch alone, so the server is closed while the patch is being written, as the test intends.

--- a/internal/controller/close_test.go
+++ b/internal/controller/close_test.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"bytes"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,7 +14,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// slowLog is a log store that takes a while for each write while isSlow is set.
+// slowLog is a log store that takes a while for each write of a patched release while isSlow is set. It tells writes of each. The
+// controller also writes entries of its own, for example when it joins as a member.
 type slowLog struct {
 	raft.LogStore
 	isSlow atomic.Bool
@@ -20,7 +23,8 @@
 }
 
 func (l *slowLog) StoreLogs(logs []*raft.Log) error {
-	if l.isSlow.Load() {
+	isPatch := func(log *raft.Log) bool { return bytes.Contains(log.Data, []byte(`"do":"patch"`)) }
+	if l.isSlow.Load() && slices.ContainsFunc(logs, isPatch) {
 		l.writes <- true
 		time.Sleep(300 * time.Millisecond)
 	}
