Canceled attempts count for nothing

What callers saw: nothing reported; a related path of attempts for clients gone.

Cause: an attempt that still waited for its connection when it was canceled ended as NotSent. It then counted as an attempt over the path to its host, as a connection to that host and, if it was a retry, against the retry budget, though nothing had gone out.

Change: it ends as Revoked, like one that is not allowed when it is about to be written; the policy undoes what its start counted. CancelUnsent at a shutdown decides as before: both outcomes mean that the attempt was not executed.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -43,13 +43,13 @@
 	Response *http1.Message     // set with Succeeded, Failed and Rejected if the host sent a valid response; Drop it after use
 	Load     *policy.LoadReport // the response's load report; nil if it has none
 	Reason   string             // error text for the log; empty if there was no error
-	Revoked  error              // the error of Request.Allowed, set with policy.Revoked
+	Revoked  error              // the error of Request.Allowed; nil if the attempt was not revoked, or was canceled
 }
 
 // Attempt is one attempt of a request on a host.
 //
 //	state           on timeout                            on Cancel        if Request.Allowed returns an error
-//	attemptWaiting  ends as ConnectFailed                 ends as NotSent  ends as Revoked
+//	attemptWaiting  ends as ConnectFailed                 ends as Revoked  ends as Revoked
 //	attemptWritten  closes its connection, then TimedOut  continues        -
 //	attemptEnded    -                                     -                -
 type Attempt struct {
@@ -75,10 +75,10 @@
 // InFlight reports whether the request was written to a connection that has not ended for the attempt.
 func (a *Attempt) InFlight() bool { return a.state == attemptWritten }
 
-// Cancel ends an attempt as NotSent if no byte of it has been written; otherwise it does nothing.
+// Cancel ends an attempt as Revoked if no byte of it has been written; otherwise it does nothing.
 func (a *Attempt) Cancel() {
 	if a.state == attemptWaiting {
-		a.end(Result{Outcome: policy.NotSent, Reason: "canceled"})
+		a.end(Result{Outcome: policy.Revoked, Reason: "canceled"})
 	}
 }
 
--- a/internal/upstream/config.go
+++ b/internal/upstream/config.go
@@ -4,8 +4,8 @@
 //
 // An attempt has one of these outcomes. Each states only what is certain; this is how DefaultProtocol maps responses:
 //
-//	NotSent         no byte was passed to the kernel, for example because the attempt was canceled or the first write failed
-//	Revoked         Request.Allowed returned an error when the request was about to be written; no byte was
+//	NotSent         no byte was passed to the kernel, for example because the first write failed
+//	Revoked         the attempt was canceled before a byte was passed to the kernel, or Request.Allowed returned an error
 //	ConnectFailed   no connection could be opened before the timeout, or the limit on connections was reached
 //	Succeeded       a response with a status below 500, other than 101
 //	Rejected        503 with Dapplefront-Unseen: 1: the host has not started the request
--- a/policy/router.go
+++ b/policy/router.go
@@ -24,7 +24,7 @@
 	Log(text string)
 	// Gossip sends a message to the router with the rank peer, or to all peers if peer is Broadcast.
 	Gossip(peer int, body []byte)
-	// CancelUnsent ends the attempts of a request that have not been sent, as NotSent or ConnectFailed.
+	// CancelUnsent ends the attempts of a request that have not been sent, as Revoked or ConnectFailed.
 	CancelUnsent(request *Request)
 	// CheckHealth starts a health check of a host. Its result is passed to HealthChecked.
 	CheckHealth(host *Host)
