No health check is sent after a configuration that forbids it

What callers saw: nothing reported; a related path of second attempts after a reload.

Cause: whether health checks are allowed was asked when one was decided on, not when it was written, after its connection had been opened.

Evidence: TestProxy_SendsNoHealthCheckAfterConfigForbidsIt changes the configuration between the two; without the fix the host got two more checks.

Why this works: the check's Allowed asks the configuration in force at the write. A revoked check reports nothing about the host.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -151,6 +151,17 @@
 	return false
 }
 
+// errHealthChecksOff is why a health check is revoked that a new configuration does not allow.
+var errHealthChecksOff = errors.New("health checks are no longer allowed")
+
+// mayCheckHealth returns an error if health checks are not allowed any more.
+func (p *Proxy) mayCheckHealth() error {
+	if !p.config.Router.Limits.HealthChecks {
+		return errHealthChecksOff
+	}
+	return nil
+}
+
 // checkHealth sends a health check to a host, if a path is configured for it. The result does not count toward any
 // request.
 func (p *Proxy) checkHealth(host uint32) {
@@ -160,7 +171,11 @@
 	}
 	head := http1.AppendField([]byte("GET "+check.Path+" HTTP/1.1\r\n"), "Host", p.address.String())
 	head = http1.AppendField(head, upstream.RouterHeader, p.config.Name)
-	p.pool.Send(host, upstream.Request{Head: head}, eventloop.FromDuration(check.Timeout), func(result upstream.Result) {
+	request := upstream.Request{Head: head, Ready: p.inputHandled, Allowed: p.mayCheckHealth}
+	p.pool.Send(host, request, eventloop.FromDuration(check.Timeout), func(result upstream.Result) {
+		if result.Outcome == policy.Revoked {
+			return
+		}
 		if result.Response != nil {
 			result.Response.Drop()
 		}
--- a/internal/proxy/stricter_config_test.go
+++ b/internal/proxy/stricter_config_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"dapplefront/router"
 )
 
 // slowQuotes responds late to requests for /quote, but within their timeout.
@@ -46,3 +48,24 @@
 		})
 	}
 }
+
+// Guards against a health check that is sent after a new configuration forbids them, because its connection was being opened.
+func TestProxy_SendsNoHealthCheckAfterConfigForbidsIt(t *testing.T) {
+	h := startHost(t, 1, 1, respondOK)
+	r := newTestbench(t, h)
+	withChecks := r.changedConfig("[probes]\npath = /probe\n")
+	require.NoError(t, r.router.UpdateConfig(withChecks))
+	r.router.loop.Do(func() { r.router.checkHealth(h.entry.ID) })
+	r.eventually(func() bool { return h.requests.Load() == 1 })
+	time.Sleep(50 * time.Millisecond) // the check has ended
+	r.router.loop.Do(func() {
+		for range 2 { // one of them needs a new connection
+			r.router.checkHealth(h.entry.ID)
+		}
+		require.NoError(t, r.router.handle(router.ConfigChanged{Config: r.config.Router}))
+		r.router.config = r.config
+	})
+	r.eventually(func() bool { return h.conns.Load() == 2 })
+	r.waitIdle()
+	require.EqualValues(t, 1, h.requests.Load())
+}
