Watched connections stand beside the other connections; shared system calls

The connection that knows whether input is unread or in processing repeated the peek and the retry after EINTR of package transport. It moves there and uses them. An attempt whose write is postponed when its timeout comes ends as Revoked and no longer as "no connection", which counted against its host.

--- a/internal/jsonstream/stream.go
+++ b/internal/jsonstream/stream.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dapplefront/internal/transport"
 )
 
 var (
@@ -62,7 +64,7 @@
 	wg          sync.WaitGroup // goroutines of the connections
 
 	socketsMu sync.Mutex
-	sockets   map[*watchedConn]bool // open TCP connections
+	sockets   map[*transport.WatchedConn]bool // open TCP connections
 
 	handling  sync.Mutex // held while the handler is called
 	attempted atomic.Bool
@@ -76,7 +78,7 @@
 
 // New returns a stream that is not connected. Open connects it.
 func New(address string, t Timeouts, h Handler) *Stream {
-	s := &Stream{handler: h, timeouts: t, address: address, sockets: map[*watchedConn]bool{}}
+	s := &Stream{handler: h, timeouts: t, address: address, sockets: map[*transport.WatchedConn]bool{}}
 	s.client = newHTTPClient(s.dial)
 	return s
 }
@@ -91,7 +93,7 @@
 	if !ok {
 		return conn, nil
 	}
-	socket, err := newWatchedConn(tcp, s.socketClosed)
+	socket, err := transport.NewWatchedConn(tcp, s.socketClosed)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -102,7 +104,7 @@
 	return socket, nil
 }
 
-func (s *Stream) socketClosed(socket *watchedConn) {
+func (s *Stream) socketClosed(socket *transport.WatchedConn) {
 	s.socketsMu.Lock()
 	defer s.socketsMu.Unlock()
 	delete(s.sockets, socket)
@@ -113,7 +115,7 @@
 	s.socketsMu.Lock()
 	defer s.socketsMu.Unlock()
 	for socket := range s.sockets {
-		if socket.pending() {
+		if socket.Pending() {
 			return true
 		}
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -60,7 +60,8 @@
 	return p.router.CheckSend(r.id, number, slices.ContainsFunc(r.attempts, (*upstream.Attempt).InFlight))
 }
 
-// heldUpDelay is the event loop's delay from which the process counts as having been held up.
+// heldUpDelay is the event loop's delay from which the process counts as having been held up. It is below the shortest drain
+// grace, so that no host can be beyond its grace before attempts wait for input.
 const heldUpDelay = 50 * policy.Second / 1000
 
 // inputHandled reports whether attempts may be written without waiting for input from endpoint discovery or the release
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -32,8 +32,8 @@
 }
 
 const (
-	readyPollInterval = ticksPerMs
-	maxPostponement   = 100 * ticksPerMs
+	readyPollInterval = ticksPerMs       // how often Request.Ready is asked
+	maxPostponement   = 100 * ticksPerMs // after which a request is written although it is not ready
 )
 
 // Result describes how an attempt ended.
@@ -49,7 +49,8 @@
 // Attempt is one attempt of a request on a host.
 //
 //	state           on timeout                            on Cancel        if Request.Allowed returns an error
-//	attemptWaiting  ends as ConnectFailed                 ends as Revoked  ends as Revoked
+//	attemptWaiting  ends as ConnectFailed, or as Revoked  ends as Revoked  ends as Revoked
+//	                if its write was postponed
 //	attemptWritten  closes its connection, then TimedOut  continues        -
 //	attemptEnded    -                                     -                -
 type Attempt struct {
@@ -164,6 +165,10 @@
 	switch a.state {
 	case attemptEnded:
 	case attemptWaiting:
+		if a.postponed > 0 {
+			a.end(Result{Outcome: policy.Revoked, Reason: "the router was not ready before the timeout"})
+			return
+		}
 		a.end(Result{Outcome: policy.ConnectFailed, Reason: "no connection before the timeout"})
 	case attemptWritten:
 		c := a.conn
