--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -160,8 +160,8 @@
 			if test.idleConnections {
 				r.openIdleConnections()
 			}
-			before := r.router.Counts()
-			for plays := 0; r.router.Counts().Revoked == before.Revoked; plays++ {
+			before, revoked := r.router.Counts(), r.router.RevokedAttempts()
+			for plays := 0; r.router.RevokedAttempts() == revoked; plays++ {
 				require.Less(t, plays, maxPlays, "the attempt was due before the client disconnected or after the loop was told so")
 				received := r.received()
 				gone := r.router.Counts().ClientsGone
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -72,6 +72,7 @@
 	counts         Counts
 	shutdown       ShutdownCounts
 	lastResponseAt policy.Time            // when a shutdown gives up the requests without a response; 0 before a shutdown
+	revoked        uint64                 // attempts that were not sent, because what they were decided on had changed
 	lateResponses  uint64                 // responses with any outcome that were sent after the request's deadline, by the loop's clock
 	latestBuild    int                    // build in the latest release status; 0 before the first status
 	outcomes       map[int]map[string]int // number of requests since the last report, by build and outcome
@@ -93,7 +94,6 @@
 	ClientsGone    uint64 `json:"Left"`
 	Attempts       uint64 `json:"Sends"`
 	ShadowAttempts uint64 `json:"Copies"`
-	Revoked        uint64 `json:"Revoked"` // attempts that are included in Attempts but were not sent, because what they were decided on had changed
 }
 
 // Start starts a router that uses this project's own protocols for discovery and the controllers. The router is
@@ -225,6 +225,13 @@
 	return n
 }
 
+// RevokedAttempts returns how many attempts were not sent because what they were decided on had changed; 0 once the router is
+// closed. Counts.Attempts includes them.
+func (p *Proxy) RevokedAttempts() (n uint64) {
+	p.loop.Do(func() { n = p.revoked })
+	return n
+}
+
 // InFlight returns how many requests are waiting for a response, how many client and upstream connections are open, and
 // how many bytes message bodies hold.
 func (p *Proxy) InFlight() (requests, clients, upstreams int, bytes int64) {
