--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -31,6 +32,9 @@
 	Status int       // 0 without an answer
 	Body   string
 	Err    error
+	// ReadAndClosed is set if the connection was closed without a byte of an answer after the router had read the whole
+	// request: had it left bytes unread, or had the request come after the close, the connection would have been reset.
+	ReadAndClosed bool
 }
 
 // Clients send requests to one router. They keep their connections.
@@ -77,6 +81,11 @@
 	r.Sent = time.Now()
 	s.c.NoteAt(r.Sent, "client sent %s (%s) to %s", r.ID, q.Class, s.router.Name)
 	var answer *http.Response
+	endedUnanswered := false
+	if err == nil {
+		_, err = conn.reader.Peek(1)
+		endedUnanswered = errors.Is(err, io.EOF)
+	}
 	if err == nil {
 		answer, err = http.ReadResponse(conn.reader, nil)
 	}
@@ -90,6 +99,7 @@
 	s.c.NoteAt(r.Ended, "client got %d for %s from %s after %.1f ms: %.60q %v", r.Status, r.ID, s.router.Name,
 		float64(r.Ended.Sub(r.Sent).Microseconds())/1000, r.Body, errText(err))
 	if err != nil || answer.Close {
+		r.ReadAndClosed = endedUnanswered && !conn.wasReset()
 		_ = conn.Close()
 		return r
 	}
@@ -99,6 +109,24 @@
 	return r
 }
 
+// wasReset reports whether the router has reset a connection that it has ended. A reset follows the end at once.
+func (c *clientConn) wasReset() bool {
+	time.Sleep(30 * time.Millisecond)
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	pending := 0
+	if raw.Control(func(fd uintptr) { pending, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) }) != nil {
+		return true
+	}
+	return err != nil || pending != 0
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
