The endpoint list is polled again in time after an outage of discovery

Cause: from the third failed poll on, policy.Router.EndpointsChanged waited 4 to 8 s. The long backoff stood in for something else: a call was closed after 2.25 s without a list and made again at the end of discovery's queue, so that a crowd of routers with a short backoff never gets a list.

Change: the next poll comes within 3.75 s of a failure and 5.25 s of a poll that nothing answered. A call without a list after 2.25 s is reported as failed and made again, but is still read, and the first list that arrives ends the other calls (jsonstream.Stream). The log says when discovery is available again.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -16,19 +16,22 @@
 
 	"dapplefront/internal/eds"
 	"dapplefront/internal/jsonstream"
+	"dapplefront/policy"
 )
 
 // Times within which an idle watch must be replaced. After assumedReceivedAfter, the platform assumes that routers have
 // received a change, even if an idle watch missed it. Within that time the router must detect that the watch is idle, the
-// backoff must end and a new watch must respond.
+// backoff must end and a new watch must respond. The same holds after a call that failed (policy.MaxPollBackoff).
 const (
 	assumedReceivedAfter = 6 * time.Second // protocol page, "Figures"
 	keepAliveInterval    = 2 * time.Second // protocol page, "Discovery": an empty line at least this often
 	idleTimeout          = keepAliveInterval * 3 / 2
-	maxFirstBackoff      = 750 * time.Millisecond // longest backoff of the policy after a first failure
+	maxFirstBackoff      = time.Duration(policy.MaxWatchEndBackoff) * tick
+	tick                 = time.Second / time.Duration(policy.Second) // unit of policy.Time
 )
 
-// WatchTimeouts are the maximum times for which a watch may receive nothing.
+// WatchTimeouts are the maximum times for which a watch may receive nothing. A call that has no list after FirstValue counts
+// as failed, but a list that it still receives is applied.
 var WatchTimeouts = jsonstream.Timeouts{FirstValue: assumedReceivedAfter - idleTimeout - maxFirstBackoff, Idle: idleTimeout}
 
 // Watch watches the endpoint list of one discovery service. It is safe for concurrent use.
--- a/internal/jsonstream/stream.go
+++ b/internal/jsonstream/stream.go
@@ -1,5 +1,9 @@
 // Package jsonstream reads a stream of JSON values: the response to a GET request whose chunked body stays open, such as a
 // watch. The stream may move to another address. The old connection is read until the new one has delivered a value.
+//
+// A connection that has not delivered its first value in time is reported as failed and may be opened again, but it is read
+// until another one delivers a value: a service that handles calls in turn would otherwise work for callers that have left,
+// and each new call would start at the end of its queue.
 package jsonstream
 
 import (
@@ -10,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,23 +32,33 @@
 	// Open is called for each connection. It returns the path to request and the handler of the values that arrive,
 	// regardless of line breaks between or within them. An error of the handler ends the connection.
 	Open func() (path string, handle func(json.RawMessage) error)
-	// Ended is called when the newest connection has ended, unless it was to an earlier address or the stream is closed.
+	// Ended is called once for each connection that has ended, or is late with its first value, while it was the newest one.
+	// It is not called for a connection to an earlier address or after the stream was closed.
 	Ended func(err error)
 }
 
 // Timeouts limit how long a connection may be silent.
 type Timeouts struct {
-	FirstValue time.Duration // until the first value, including the time to connect
+	FirstValue time.Duration // until the first value, including the time to connect; then the connection counts as failed
 	Idle       time.Duration // after the first value, between two reads that return at least one byte
 }
 
-const maxValueBytes = 4 << 20 // about 20,000 entries of an endpoint list
+const (
+	maxValueBytes = 4 << 20 // about 20,000 entries of an endpoint list
+
+	// lateValueTimeout is how long a connection that is late with its first value is still read. It bounds the number of
+	// such connections.
+	lateValueTimeout = 30 * time.Second
+
+	// DialTimeout limits the time to open a TCP connection.
+	DialTimeout = time.Second
+)
 
 // NewHTTPClient returns a client that uses each connection for one request, follows no redirects and doesn't compress, so
 // that the outcome of each request is unambiguous.
 func NewHTTPClient() *http.Client { return newHTTPClient(dialer.DialContext) }
 
-var dialer = &net.Dialer{Timeout: time.Second}
+var dialer = &net.Dialer{Timeout: DialTimeout}
 
 func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: 4 << 10,
@@ -72,8 +87,10 @@
 
 type connection struct {
 	address  string
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
+	idle     *time.Timer // fires when the connection has been silent for too long; set under Stream.mu
 	gotValue atomic.Bool
+	failed   bool // whether it was reported as failed and has delivered no value since; protected by Stream.mu
 }
 
 // New returns a stream that is not connected. Open connects it.
@@ -132,22 +149,31 @@
 // Attempted reports whether a first connection has delivered a value or has ended without one.
 func (s *Stream) Attempted() bool { return s.attempted.Load() }
 
-// Open connects to the stream's address, unless the newest connection is to this address.
+// Open connects to the stream's address, unless the newest connection is to this address and has not failed.
 func (s *Stream) Open() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if n := len(s.connections); s.closed || n > 0 && s.connections[n-1].address == s.address {
+	if s.closed || s.isOpen() {
 		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	c := &connection{address: s.address, cancel: cancel}
 	s.connections = append(s.connections, c)
 	s.wg.Go(func() {
-		defer cancel()
+		defer cancel(nil)
 		s.connectionEnded(c, s.follow(ctx, c))
 	})
 }
 
+// isOpen reports whether the newest connection is to the stream's address and has not failed.
+func (s *Stream) isOpen() bool {
+	if len(s.connections) == 0 {
+		return false
+	}
+	newest := s.connections[len(s.connections)-1]
+	return newest.address == s.address && !newest.failed
+}
+
 // SetAddress changes the address of the stream and connects to it. The connection to the old address is read until the new
 // one has delivered a value.
 func (s *Stream) SetAddress(address string) {
@@ -162,40 +188,62 @@
 	s.mu.Lock()
 	s.closed = true
 	for _, c := range s.connections {
-		c.cancel()
+		c.cancel(nil)
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
 }
 
 func (s *Stream) connectionEnded(c *connection, err error) {
+	s.handling.Lock()
+	defer s.handling.Unlock()
 	s.mu.Lock()
-	newest := s.connections[len(s.connections)-1] == c
-	for i, other := range s.connections {
-		if other == c {
-			s.connections = append(s.connections[:i:i], s.connections[i+1:]...)
-			break
-		}
-	}
-	// The end of a connection to an earlier address is not reported: SetAddress has opened the next one, which reports
-	// its own end.
-	report := newest && !s.closed && c.address == s.address
+	report := s.mayReport(c)
+	s.connections = slices.DeleteFunc(s.connections, func(other *connection) bool { return other == c })
 	s.mu.Unlock()
 	if report {
-		s.handling.Lock()
-		defer s.handling.Unlock()
 		s.handler.Ended(err)
 	}
 	s.attempted.Store(true)
 }
 
+// mayReport reports whether the failure of a connection is reported. The end of a connection to an earlier address is not:
+// SetAddress has opened the next one, which reports its own failure.
+func (s *Stream) mayReport(c *connection) bool {
+	newest := len(s.connections) > 0 && s.connections[len(s.connections)-1] == c
+	return newest && !s.closed && !c.failed && c.address == s.address
+}
+
+// timedOut handles a connection that has been silent for too long. If it has not delivered its first value, it is only
+// reported as failed at first, and ends after another lateValueTimeout.
+func (s *Stream) timedOut(c *connection) {
+	s.handling.Lock()
+	defer s.handling.Unlock()
+	s.mu.Lock()
+	if s.closed || c.gotValue.Load() || c.failed {
+		s.mu.Unlock()
+		c.cancel(errIdle)
+		return
+	}
+	s.wg.Add(1) // Close waits until the handler has returned
+	defer s.wg.Done()
+	report := s.mayReport(c)
+	c.failed = true
+	c.idle.Reset(lateValueTimeout)
+	s.mu.Unlock()
+	if report {
+		s.handler.Ended(fmt.Errorf("%s: no value within %v: %w", c.address, s.timeouts.FirstValue, errIdle))
+	}
+	s.attempted.Store(true)
+}
+
 // follow reads one connection until it ends. The error names the address.
 func (s *Stream) follow(ctx context.Context, c *connection) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	idle := time.AfterFunc(s.timeouts.FirstValue, func() { cancel(errIdle) })
-	defer idle.Stop()
-	err := s.readValues(ctx, c, idle)
+	s.mu.Lock()
+	c.idle = time.AfterFunc(s.timeouts.FirstValue, func() { s.timedOut(c) })
+	s.mu.Unlock()
+	defer c.idle.Stop()
+	err := s.readValues(ctx, c)
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
@@ -204,7 +252,7 @@
 
 // readValues requests the stream and delivers its values until an error occurs. After the first value it resets the idle
 // timer at each read.
-func (s *Stream) readValues(ctx context.Context, c *connection, idle *time.Timer) error {
+func (s *Stream) readValues(ctx context.Context, c *connection) error {
 	s.handling.Lock()
 	path, handle := s.handler.Open()
 	s.handling.Unlock()
@@ -222,7 +270,7 @@
 	}
 	body := &boundedBody{Reader: response.Body, remaining: maxValueBytes, onRead: func() {
 		if c.gotValue.Load() {
-			idle.Reset(s.timeouts.Idle)
+			c.idle.Reset(s.timeouts.Idle)
 		}
 	}}
 	for values := json.NewDecoder(body); ; {
@@ -234,7 +282,7 @@
 		if err := s.deliver(c, value, handle); err != nil {
 			return err
 		}
-		idle.Reset(s.timeouts.Idle)
+		c.idle.Reset(s.timeouts.Idle)
 	}
 }
 
@@ -269,34 +317,33 @@
 	}
 	s.attempted.Store(true)
 	if first := !c.gotValue.Swap(true); first {
-		s.cancelOlder(c)
+		s.replaceOthers(c)
 	}
 	return nil
 }
 
-// isReplaced reports whether a newer connection than c has delivered a value.
+// isReplaced reports whether another connection has replaced c, or a newer one has delivered a value.
 func (s *Stream) isReplaced(c *connection) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	newer := false
-	for _, other := range s.connections {
-		if other == c {
-			newer = true
-		} else if newer && other.gotValue.Load() {
-			return true
-		}
-	}
-	return false
+	at := slices.Index(s.connections, c)
+	return at < 0 || slices.ContainsFunc(s.connections[at+1:], func(newer *connection) bool { return newer.gotValue.Load() })
 }
 
-// cancelOlder ends all connections that are older than c.
-func (s *Stream) cancelOlder(c *connection) {
+// replaceOthers ends all connections that c replaces with its first value: the older ones, and the newer ones to the same
+// address.
+func (s *Stream) replaceOthers(c *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, other := range s.connections {
-		if other == c {
-			return
+	c.failed = false
+	at := slices.Index(s.connections, c)
+	kept := s.connections[:0:0]
+	for i, other := range s.connections {
+		if i >= at && (i == at || other.address != c.address) {
+			kept = append(kept, other)
+		} else {
+			other.cancel(errReplaced)
 		}
-		other.cancel()
 	}
+	s.connections = kept
 }
--- a/internal/jsonstream/stream_test.go
+++ b/internal/jsonstream/stream_test.go
@@ -68,3 +68,59 @@
 	require.Equal(t, []string{`{"b":2}`}, []string{<-received})
 	require.Empty(t, ended)
 }
+
+// lateStream opens a stream whose connections are late with their first value after a short time.
+func lateStream(t *testing.T, server *fakeServer) (s *Stream, received chan string, ended chan error) {
+	t.Helper()
+	received, ended = make(chan string, 10), make(chan error, 10)
+	s = New(server.address(), Timeouts{FirstValue: 50 * time.Millisecond, Idle: time.Minute}, Handler{
+		Open: func() (string, func(json.RawMessage) error) {
+			return "/", func(v json.RawMessage) error { received <- string(v); return nil }
+		},
+		Ended: func(err error) { ended <- err }})
+	t.Cleanup(s.Close)
+	s.Open()
+	require.ErrorIs(t, <-ended, errIdle)
+	return s, received, ended
+}
+
+// Guards against a crowd of callers that none gets a response in: a late response is used, although the call was reported
+// as failed and made again, and its end is reported again.
+func TestStream_UsesFirstValueThatArrivesAfterTimeout(t *testing.T) {
+	server := newFakeServer(t)
+	s, received, ended := lateStream(t, server)
+	server.values <- "{}"
+	require.Equal(t, "{}", <-received)
+	s.Open() // the stream is open
+	require.Empty(t, ended)
+	server.values <- "end"
+	require.Error(t, <-ended)
+	require.Empty(t, ended)
+}
+
+// Guards against two connections that deliver the same list: the first value ends all other connections to the address,
+// and none of them is reported.
+func TestStream_FirstValueEndsOtherCallsThatTimedOut(t *testing.T) {
+	server := newFakeServer(t)
+	s, received, ended := lateStream(t, server)
+	s.Open()
+	require.ErrorIs(t, <-ended, errIdle)
+	open := func() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.connections) }
+	require.Equal(t, 2, open(), "a call that has timed out must be kept")
+	server.values <- "{}" // of either connection
+	require.Equal(t, "{}", <-received)
+	require.Eventually(t, func() bool { return open() == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { s.socketsMu.Lock(); defer s.socketsMu.Unlock(); return len(s.sockets) == 1 }, 10*time.Second, time.Millisecond)
+	require.Empty(t, ended)
+}
+
+// Guards against a service that accepts calls and never responds: a call that has timed out is not kept for ever.
+func TestStream_EndsCallThatStaysWithoutResponse(t *testing.T) {
+	server := newFakeServer(t)
+	s, _, ended := lateStream(t, server)
+	s.mu.Lock()
+	s.connections[0].idle.Reset(0) // lateValueTimeout has passed
+	s.mu.Unlock()
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.connections) == 0 }, 10*time.Second, time.Millisecond)
+	require.Empty(t, ended, "the call was reported when it timed out")
+}
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -4,12 +4,25 @@
 	"time"
 
 	"dapplefront/internal/eds"
+	"dapplefront/internal/eventloop"
 	"dapplefront/policy"
 	"dapplefront/router"
 )
 
+// endpointsUnavailable reports a failure of endpoint discovery to the router, which decides when to call it again.
+func (p *Proxy) endpointsUnavailable() {
+	if !p.discoveryFailed {
+		p.discoveryFailed, p.discoveryDownAt = true, p.loop.Now()
+	}
+	p.handleEvent(router.EndpointsUnavailable{})
+}
+
 // endpointsChanged applies a complete endpoint list, or only the changes to it if complete is false.
 func (p *Proxy) endpointsChanged(complete bool, hosts []eds.Host) {
+	if p.discoveryFailed {
+		p.discoveryFailed = false
+		p.log.Info("endpoint discovery available again", "failed_for", eventloop.Duration(p.loop.Now()-p.discoveryDownAt), "hosts", len(hosts))
+	}
 	list := make([]router.Host, len(hosts))
 	listed := make(map[uint32]bool, len(hosts))
 	wallStep := p.loop.WallStep()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,6 +78,8 @@
 	outcomes       map[int]map[string]int // number of requests since the last report, by build and outcome
 
 	endpoints        map[uint32]eds.Host
+	discoveryFailed  bool        // whether endpoint discovery has failed since the last list
+	discoveryDownAt  policy.Time // when it failed first
 	startTimes       startTimes
 	initialEndpoints []eds.Host // known before discovery's first response
 	cacheUpdates     chan []eds.Host
@@ -160,7 +162,7 @@
 		Rejected: func(err error) { p.log.Warn("endpoint list rejected", "error", err) },
 		Failed: func(err error) {
 			p.log.Warn("endpoint discovery failed", "error", err)
-			p.postEvent(router.EndpointsUnavailable{})
+			p.loop.Post(p.endpointsUnavailable)
 		},
 	}
 }
--- a/policy/discovery.go
+++ b/policy/discovery.go
@@ -20,13 +20,8 @@
 }
 
 // EndpointsChanged applies changes to the endpoint list. ok is false when a poll failed or a watch ended: the hosts
-// stay unchanged and the list is polled again after a backoff. The backoff is randomized and grows with each failure,
-// because a service with more clients than it can serve responds to none of them in time. After an established watch
-// ends, the first backoff is short, so that the changes that the watch missed are applied in time.
+// stay unchanged and the list is polled again after a backoff.
 func (r *Router) EndpointsChanged(now Time, changes []EndpointUpdate, ok bool) {
-	const pollEndsWithin = 3 * Second // a failure later than this after the poll is the end of a watch
-	const firstBackoff = 3 * Second / 8
-	const doublingsPerFailure, maxDoublings = 2, 6
 	r.now = now
 	if ok {
 		r.discovery.failedPolls = 0
@@ -35,15 +30,35 @@
 		}
 		return
 	}
-	if now-r.discovery.lastPollAt < pollEndsWithin {
-		r.discovery.failedPolls = max(r.discovery.failedPolls, 1)
-	}
-	longest := max(r.limits.PollInterval, Second) * 2 / 5
-	backoff := min(firstBackoff<<min(doublingsPerFailure*r.discovery.failedPolls, maxDoublings), longest)
+	backoff := r.minPollBackoff(now - r.discovery.lastPollAt)
 	r.discovery.failedPolls++
 	r.effects.SetTimer(backoff+Time(r.random.intN(int(backoff)+1)), &Timer{polls: true})
 }
 
+// Limits on the time until the endpoint list is polled again. A change counts as received 6 s after discovery had it and
+// could be reached, whatever failed before; by then the next poll must have its response. A refused call shows that discovery
+// can't be reached at that moment, but after one that timed out it may have been reachable since the poll.
+const (
+	MaxWatchEndBackoff  = 3 * Second / 4  // after the end of a watch; short, because a silent watch is detected late
+	MaxPollBackoff      = 15 * Second / 4 // from a failure to the next poll, which may then take a call's whole timeout
+	MaxTimeBetweenPolls = 21 * Second / 4 // from start to start, after a call that timed out
+)
+
+// minPollBackoff returns the shortest backoff after a failure at a time since the poll; the longest is twice as long.
+// Backoffs are randomized and grow with each failure, because a service with more clients than it can serve responds to none
+// of them in time.
+func (r *Router) minPollBackoff(sincePoll Time) Time {
+	const pollEndsWithin = 3 * Second // a failure later than this after the poll is the end of a watch
+	const doublingsPerFailure, maxDoublings = 2, 6
+	longest := MaxPollBackoff
+	if sincePoll < pollEndsWithin {
+		r.discovery.failedPolls = max(r.discovery.failedPolls, 1)
+		longest = min(longest, MaxTimeBetweenPolls-sincePoll)
+	}
+	backoff := MaxWatchEndBackoff / 2 << min(doublingsPerFailure*r.discovery.failedPolls, maxDoublings)
+	return min(backoff, max(r.limits.PollInterval, Second)*2/5, longest/2)
+}
+
 // applyEndpoint applies a change of one host. Hosts are ordered by ID, which gives the same order at all routers.
 func (r *Router) applyEndpoint(update EndpointUpdate) {
 	host := update.Host
--- a/policy/discovery_test.go
+++ b/policy/discovery_test.go
@@ -28,7 +28,7 @@
 		for f.polls == before {
 			f.advance(Second / 100)
 		}
-		least, most := 4*Second, 8*Second // within the poll interval
+		least, most := MaxPollBackoff/2, MaxPollBackoff // the response must come within six seconds of the failure
 		switch n {
 		case 0:
 			least, most = Second/4, 3*Second/4 // a watch that sends nothing more must be replaced within six seconds
@@ -76,7 +76,7 @@
 	}
 	for name, at := range map[string][]Time{"starts": starts, "retries": retries} {
 		slices.Sort(at)
-		require.LessOrEqual(t, at[routers-1], map[string]Time{"starts": 2*Second + Second/100, "retries": 8 * Second}[name], name)
+		require.LessOrEqual(t, at[routers-1], map[string]Time{"starts": 2*Second + Second/100, "retries": MaxPollBackoff}[name], name)
 		for n := range at { // no tenth of the span has more than a third of the polls
 			in := 0
 			for _, x := range at {
