--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -45,6 +45,11 @@
 // called, unless it was called before. It must be called from work of the loop.
 func (r *Request) Abandon() { r.pending.conn.disconnected() }
 
+// Complete ends a request that was passed to the handler: it has its response or its client has disconnected, and no attempt
+// of it is in flight. executed means that it may have run and that its client was not sent a host's response: requests with
+// the same id are then refused for a while. Complete must be called once, from work of the loop.
+func (r *Request) Complete(executed bool) { r.pending.freeID(executed) }
+
 // requestReceived handles a complete request, whose first byte arrived at startedAt.
 func (s *Server) requestReceived(c *clientConn, m *http1.Message, startedAt policy.Time) {
 	isDraining := s.state >= draining
@@ -69,6 +74,7 @@
 	switch {
 	case err != nil:
 		m.Drop()
+		s.log.Debug("request refused", "request", m.Get(s.protocol.ID), "client", c.remoteIP, "status", err.Status, "reason", err.Text)
 		p.refuse(err)
 	case s.state == closing:
 		m.Drop()
@@ -83,7 +89,7 @@
 		m.Drop()
 		r.Reject(pipelineRetry, "too many requests at once on one connection")
 	default:
-		p.request = r
+		p.request, p.handled = r, true
 		s.handler(r)
 	}
 }
@@ -158,18 +164,21 @@
 	return nil
 }
 
-// registerID registers the id that the client gave a request, if the protocol has ids. Two requests in flight can't
-// have the same id.
+// registerID registers the id that the client gave a request, if the protocol has ids. Two open requests can't have the same
+// id, and a request can't have the id of one that may have run although its client was not sent a host's response.
 func (s *Server) registerID(p *pendingResponse, id string) *http1.Error {
 	switch {
 	case s.protocol.ID == "":
 		return nil
 	case id == "":
 		return badRequest(s.protocol.ID + " is missing")
-	case s.openByID[id] != nil:
+	case s.ids.isOpen(id):
 		return badRequest(s.protocol.ID + " is that of another request, which is still open")
+	case s.ids.mayHaveRun(id, s.loop.Now()):
+		return badRequest(s.protocol.ID + " is that of another request, which may have run")
 	}
-	p.id, s.openByID[id] = id, p
+	s.ids.add(id)
+	p.id = id
 	return nil
 }
 
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -19,6 +19,7 @@
 	conn       *clientConn
 	request    *Request // nil once the response has been set, or if the request was not passed to the handler
 	id         string   // the id that the client gave the request; empty if there is none
+	handled    bool     // the request was passed to the handler, which frees its id by Request.Complete
 	answered   bool     // the response has been set, or can't reach the client
 	closeAfter bool     // the connection is closed after the response
 	omitBody   bool     // the request is a HEAD request
@@ -43,8 +44,18 @@
 	s := p.conn.server
 	p.answered = true
 	s.unanswered--
-	if p.id != "" && s.openByID[p.id] == p {
-		delete(s.openByID, p.id)
+	if !p.handled {
+		p.freeID(false)
+	}
+}
+
+// freeID ends the registration of the request's id. executed means that the request may have run and that its client was not
+// sent a host's response.
+func (p *pendingResponse) freeID(executed bool) {
+	if p.id != "" {
+		s := p.conn.server
+		s.ids.remove(p.id, executed, s.loop.Now())
+		p.id = ""
 	}
 }
 
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -95,8 +95,8 @@
 	unanswered int // number of requests without a response
 	log        *slog.Logger
 
-	refusedClosing uint64                      // requests that were rejected because the server was closing
-	openByID       map[string]*pendingResponse // responses that are due, by the id that the client gave the request
+	refusedClosing uint64 // requests that were rejected because the server was closing
+	ids            *idRegistry
 }
 
 type serverState int
@@ -114,10 +114,10 @@
 }
 
 // NewServer returns a server that passes requests to handler, from work of the loop. From then on the handler owns the
-// request's message. It must drop the message when no attempt needs its body any longer.
+// request's message. It must drop the message when no attempt needs its body any longer, and call Request.Complete.
 func NewServer(l *eventloop.Loop, c Config, budget *http1.Budget, handler func(*Request)) *Server {
 	s := &Server{loop: l, config: c, budget: budget, handler: handler, classes: map[string]*Class{},
-		networks: new(bart.Table[string]), conns: map[*clientConn]bool{}, protocol: c.Protocol, openByID: map[string]*pendingResponse{},
+		networks: new(bart.Table[string]), conns: map[*clientConn]bool{}, protocol: c.Protocol, ids: newIDRegistry(),
 		log: slog.New(slog.DiscardHandler)}
 	if s.protocol == nil {
 		s.protocol = DefaultProtocol
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -75,6 +75,7 @@
 func (p *Proxy) attemptEnded(r *request, number int, host uint32, result upstream.Result) {
 	r.outstanding--
 	r.timedOut = result.Outcome == policy.TimedOut
+	r.mayHaveRun = r.mayHaveRun || result.Outcome.MayHaveRun()
 	if result.Revoked != nil {
 		p.attemptRevoked(r, number, host, result.Revoked)
 	} else if result.Reason != "" && p.log.Enabled(context.Background(), slog.LevelDebug) {
@@ -87,6 +88,7 @@
 		r.host = host
 		p.countOutcome(reportedSucceeded, r)
 		if p.faults == nil || !p.faults.WithholdsResponse(r.id) {
+			r.delivered = !r.downstream.ClientDisconnected()
 			r.downstream.Respond(result.Response, host)
 		}
 		r.cancelAttempts()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -242,3 +242,9 @@
 	})
 	return requests, clients, upstreams, p.budget.Used()
 }
+
+// RequestsInFlight returns how many requests wait for their response or have an attempt in flight.
+func (p *Proxy) RequestsInFlight() (n int) {
+	p.loop.Do(func() { n = len(p.requests) })
+	return n
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -25,6 +25,8 @@
 	attempts    []*upstream.Attempt
 	commonHead  []byte   // the part of the head that all attempts share; nil before the first one
 	timedOut    bool     // the attempt that ended last got no response before its timeout
+	mayHaveRun  bool     // a host may have executed it
+	delivered   bool     // a host's response was sent to the client, which was still connected
 	hosts       []uint32 // the host of each attempt
 	host        uint32   // the host that responded, or else the host of the latest attempt that is not a shadow attempt
 }
@@ -40,6 +42,7 @@
 		p.countIfLate(d)
 		p.log.Debug("request refused", "request", d.ID, "class", d.Class, "in_flight", len(p.requests), "time_left", eventloop.Duration(d.Timeout))
 		d.Reject(limits.MaxRetryAfter/4, "this router holds as many tasks as it may")
+		d.Complete(false)
 		return
 	}
 	p.lastRequestID++
@@ -101,6 +104,7 @@
 func (p *Proxy) removeIfComplete(r *request) {
 	if !r.responseDue && r.outstanding == 0 && p.requests[r.id] == r {
 		r.downstream.Message.Drop()
+		r.downstream.Complete(r.mayHaveRun && !r.delivered)
 		delete(p.requests, r.id)
 	}
 }
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -19,6 +19,11 @@
 	Revoked                       // the attempt never left the router, because what it was decided on had changed
 )
 
+// MayHaveRun reports whether the host may have executed an attempt with this outcome.
+func (o Outcome) MayHaveRun() bool {
+	return o != Rejected && o != ConnectFailed && o != NotSent && o != Revoked
+}
+
 // Attempt is one attempt to have a host execute a request.
 type Attempt struct {
 	Request *Request
@@ -120,7 +125,7 @@
 	switch {
 	case done || outcome == Succeeded:
 		event = requestEnded
-	case outcome == Rejected || outcome == ConnectFailed || outcome == NotSent || outcome == Revoked:
+	case !outcome.MayHaveRun():
 		event = attemptNotExecuted
 	case request.firstAmbiguous == nil || attempt.sentAt < request.firstAmbiguous.sentAt:
 		request.firstAmbiguous = attempt
