After a standstill, no attempt goes out for a client whose end is behind unread bytes

What callers saw: a client wrote a small request and megabytes behind it and closed, while the router stood still for 0.4 s; then the router sent the request to a host, more than 0.1 s after the close.

Cause: transport.Conn.PeerClosed can't see the end of a stream while unread bytes fill the receive window, as it has not arrived. "Not known" counted as connected.

Change: after the loop was held up, an attempt waits until its client's connection has been read to the end (nothing unread, nothing new for 2 ms), 0.1 s at most, and is revoked otherwise. A heartbeat of 50 ms makes each standstill of 0.1 s noticed. Post hands the queue to a goroutine of the loop after 1 ms, since a reader that runs others' work does not read its connection.

Why it works: reading opens the window, the rest and the end of the stream arrive, and the check before the write sees them.

--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -41,6 +41,18 @@
 	return c.state == connClosed || c.conn.PeerClosed()
 }
 
+// inputSettleTime is how long nothing may arrive until a client counts as having sent all that it wrote before. A client whose
+// bytes filled the receive window sends the next ones as soon as some have been read.
+const inputSettleTime = 2 * ticksPerMs
+
+// InputSettled reports whether all that the client has sent has been read. Until then, it may have disconnected although
+// ClientDisconnected does not report it. It must be called from work of the loop.
+func (r *Request) InputSettled() bool {
+	c := r.pending.conn
+	return c.state == connClosed ||
+		!c.conn.Unread() && c.server.loop.Now()-policy.Time(c.lastReadAt.Load()) >= inputSettleTime
+}
+
 // Abandon closes the connection of a client that has disconnected, and abandons all its requests: OnClientDisconnected is
 // called, unless it was called before. It must be called from work of the loop.
 func (r *Request) Abandon() { r.pending.conn.disconnected() }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -8,6 +8,7 @@
 package eventloop
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,9 @@
 // closePollInterval is the interval at which Close checks whether the running work has ended.
 const closePollInterval = 100 * time.Microsecond
 
+// maxBorrowedTime is the time after which Post returns although there is more work in the queue.
+const maxBorrowedTime = time.Millisecond
+
 // Loop runs the work of one router.
 type Loop struct {
 	clock clock
@@ -81,8 +85,25 @@
 		return
 	}
 	l.running = true
+	if !l.runQueue(posted.postedAt + maxBorrowedTime) {
+		go func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.runQueue(math.MaxInt64)
+		}()
+	}
+	l.mu.Unlock()
+}
+
+// runQueue runs the queue until it is empty or the loop is closed. It returns false, with running still set, if there is more
+// work at a time on the loop's clock; the caller must then have another goroutine run the queue. The caller must hold mu,
+// which is released while work runs, and must have set running.
+func (l *Loop) runQueue(until time.Duration) (done bool) {
 	var spare []queuedWork // memory of the previous batch, for reuse
 	for len(l.queue) > 0 && !l.closed.Load() {
+		if spare != nil && l.clock.elapsed() > until {
+			return false
+		}
 		batch := l.queue
 		l.queue = spare[:0]
 		l.mu.Unlock()
@@ -91,7 +112,7 @@
 		l.mu.Lock()
 	}
 	l.running = false
-	l.mu.Unlock()
+	return true
 }
 
 // runBatch runs pieces of work in order until the loop is closed. Before each piece it calls the timers that are due;
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,3 +152,29 @@
 	require.Equal(t, 128*time.Microsecond, h.Quantile(0.5))
 	require.Equal(t, 30*time.Millisecond, h.Quantile(0.99), "a quantile does not exceed the longest duration")
 }
+
+// Guards against a connection that is not read because its reader runs the work of all others.
+func TestLoop_PostReturnsWhileOthersKeepPosting(t *testing.T) {
+	l := New()
+	defer l.Close()
+	var stop atomic.Bool
+	var post func()
+	post = func() {
+		time.Sleep(100 * time.Microsecond)
+		if !stop.Load() {
+			go l.Post(post)
+			go l.Post(post)
+			time.Sleep(time.Millisecond) // until they have posted
+		}
+	}
+	returned := make(chan struct{})
+	go func() { l.Post(post); close(returned) }()
+	select {
+	case <-returned:
+	case <-time.After(5 * time.Second):
+		t.Error("the poster still runs the work of others")
+	}
+	require.Positive(t, l.QueueLength()+1)
+	stop.Store(true)
+	require.True(t, l.Do(func() {}), "the rest of the queue is run")
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -42,20 +42,27 @@
 	}
 	r.hosts = append(r.hosts, a.Host)
 	number, host := a.Attempt, a.Host
-	request := upstream.Request{Head: head, Body: m.Body, NoBody: m.Method == http.MethodHead, Ready: p.inputHandled,
+	request := upstream.Request{Head: head, Body: m.Body, NoBody: m.Method == http.MethodHead,
+		Ready:   func() bool { return p.inputHandled() && p.clientInputRead(r) },
 		Allowed: func() error { return p.mayWrite(r, number) }}
 	r.attempts = append(r.attempts, p.pool.Send(host, request, a.Duration,
 		func(result upstream.Result) { p.attemptEnded(r, number, host, result) }))
 }
 
-// errClientDisconnected is why an attempt is revoked whose client has disconnected.
-var errClientDisconnected = errors.New("the client has disconnected")
+// Why an attempt is revoked: its client has disconnected, or may have.
+var (
+	errClientDisconnected = errors.New("the client has disconnected")
+	errClientInputUnread  = errors.New("the client has sent more than could be read, and may have disconnected")
+)
 
 // mayWrite returns an error if an attempt of a request must not be written any more, because what it was decided on has
 // changed. Time has passed since the decision if the attempt's connection had to be opened or the process was held up.
 func (p *Proxy) mayWrite(r *request, number int) error {
-	if r.responseDue && r.downstream.ClientDisconnected() {
+	switch {
+	case r.responseDue && r.downstream.ClientDisconnected():
 		return errClientDisconnected
+	case !p.clientInputRead(r):
+		return errClientInputUnread
 	}
 	return p.router.CheckSend(r.id, number, slices.ContainsFunc(r.attempts, (*upstream.Attempt).InFlight))
 }
@@ -64,10 +71,26 @@
 // grace, so that no host can be beyond its grace before attempts wait for input.
 const heldUpDelay = 50 * policy.Second / 1000
 
+// heartbeatInterval is the interval of a timer that does nothing. It is short enough for the loop to notice each standstill that
+// is twice as long as heldUpDelay.
+const heartbeatInterval = heldUpDelay
+
+func (p *Proxy) heartbeat() { p.loop.After(heartbeatInterval, p.heartbeat) }
+
+// wasHeldUp reports whether the process was held up a short time ago, so that input that arrived meanwhile may be unread.
+func (p *Proxy) wasHeldUp() bool { return p.loop.RecentDelay() >= heldUpDelay }
+
 // inputHandled reports whether attempts may be written without waiting for input from endpoint discovery or the release
 // controllers: it returns false while the process has been held up and input has arrived meanwhile that was not handled.
 func (p *Proxy) inputHandled() bool {
-	return p.inputPending == nil || p.loop.RecentDelay() < heldUpDelay || !p.inputPending()
+	return p.inputPending == nil || !p.wasHeldUp() || !p.inputPending()
+}
+
+// clientInputRead reports whether it is certain that the client was connected when it last sent something: it returns false
+// while the process has been held up and the client has sent bytes meanwhile that were not read. The end of its stream can't
+// arrive before them if they fill the receive window.
+func (p *Proxy) clientInputRead(r *request) bool {
+	return !r.responseDue || !p.wasHeldUp() || r.downstream.InputSettled()
 }
 
 // attemptEnded reports the result of an attempt to the router. The first attempt that succeeds provides the client's
--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -176,3 +176,30 @@
 		})
 	}
 }
+
+// Guards against an attempt for a client that may have disconnected: it sends without end, so that the end of its stream could
+// not have arrived while the router was held up. Its request keeps its one response.
+func TestProxy_RejectsRequestOfClientWhoseInputCannotBeReadToTheEnd(t *testing.T) {
+	r := newTestbench(t, startHost(t, 1, 1, respondOK))
+	r.openIdleConnections()
+	received := r.received()
+	release := r.holdLoop()
+	c := r.dial()
+	c.post("/quote", "")
+	go func() { // ends when the test closes the connection
+		for block := make([]byte, 64<<10); ; {
+			if _, err := c.Write(block); err != nil {
+				return
+			}
+		}
+	}()
+	r.awaitQueued(acceptAndRequest)
+	time.Sleep(200 * time.Millisecond)
+	release()
+	status, outcome, _ := c.response()
+	require.Equal(t, 503, status)
+	require.Equal(t, "turned-back", outcome)
+	require.Equal(t, received, r.received())
+	require.NoError(t, c.Close())
+	r.waitIdle()
+}
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -14,9 +14,22 @@
 	return errors.Is(err, syscall.EAGAIN)
 }
 
+// Unread reports whether bytes have arrived that the session has not processed, or may have: they are still in the kernel, or
+// were read a moment ago.
+func (c *Conn) Unread() bool {
+	c.readMu.Lock()
+	delivering := c.reading == readDelivering
+	c.readMu.Unlock()
+	if delivering {
+		return true
+	}
+	n, err := c.peek()
+	return n > 0 || isShortOfMemory(err)
+}
+
 // PeerClosed reports whether the peer has ended its stream or reset the connection, or this side has closed it. It asks the
 // kernel, so it is true as soon as the end has arrived, even if bytes that arrived earlier are still unread. It is false if
-// the kernel can't tell at the moment.
+// the kernel can't tell at the moment: the end can't arrive while unread bytes fill the receive window.
 func (c *Conn) PeerClosed() bool {
 	if c.closed.Load() {
 		return true
--- a/internal/transport/peer_test.go
+++ b/internal/transport/peer_test.go
@@ -86,3 +86,21 @@
 		})
 	}
 }
+
+// Guards against bytes that have arrived and are taken for processed, in the kernel or in the session.
+func TestConn_UnreadReportsBytesThatWereNotProcessed(t *testing.T) {
+	s := blockingSession{newRecordingSession(), make(chan bool, 100), make(chan bool)}
+	c, peer := connectSession(t, s)
+	require.False(t, c.Unread())
+	_, err := io.WriteString(peer, "request")
+	require.NoError(t, err)
+	<-s.entered
+	require.True(t, c.Unread(), "the session processes the bytes")
+	_, err = io.WriteString(peer, "next request")
+	require.NoError(t, err)
+	close(s.proceed)
+	require.Eventually(t, func() bool { return !c.Unread() }, 10*time.Second, time.Millisecond)
+	require.NoError(t, peer.Close())
+	require.Eventually(t, c.PeerClosed, 10*time.Second, time.Millisecond)
+	require.False(t, c.Unread(), "the end of the stream is no input")
+}
