At most three calls that have timed out are kept on a stream

Need: a call without a first value in time is read for 30 s more, while others are made. Against a service that accepts calls and never responds, the watch and the feed would hold some ten descriptors each; 28 are reserved for all of them and the rest.

Change: beyond three such calls the youngest but one ends. The oldest have their turn first at a service that handles calls in turn; the newest is there in case the others have been forgotten.

--- a/internal/jsonstream/stream.go
+++ b/internal/jsonstream/stream.go
@@ -46,10 +46,12 @@
 const (
 	maxValueBytes = 4 << 20 // about 20,000 entries of an endpoint list
 
-	// lateValueTimeout is how long a connection that is late with its first value is still read. It bounds the number of
-	// such connections.
+	// lateValueTimeout is how long a connection that is late with its first value is still read.
 	lateValueTimeout = 30 * time.Second
 
+	// maxLateConnections is the maximum number of connections that are late with their first value. Each needs a descriptor.
+	maxLateConnections = 3
+
 	// DialTimeout limits the time to open a TCP connection.
 	DialTimeout = time.Second
 )
@@ -230,6 +232,7 @@
 	report := s.mayReport(c)
 	c.failed = true
 	c.idle.Reset(lateValueTimeout)
+	s.limitLateConnections()
 	s.mu.Unlock()
 	if report {
 		s.handler.Ended(fmt.Errorf("%s: no value within %v: %w", c.address, s.timeouts.FirstValue, errIdle))
@@ -237,6 +240,23 @@
 	s.attempted.Store(true)
 }
 
+// limitLateConnections ends a connection that is late with its first value, if there are too many. It keeps the oldest ones,
+// whose turn comes first, and the newest one, in case the others have been forgotten.
+func (s *Stream) limitLateConnections() {
+	var late []*connection
+	for _, c := range s.connections {
+		if c.failed {
+			late = append(late, c)
+		}
+	}
+	if len(late) <= maxLateConnections {
+		return
+	}
+	surplus := late[len(late)-2]
+	surplus.cancel(errReplaced)
+	s.connections = slices.DeleteFunc(s.connections, func(c *connection) bool { return c == surplus })
+}
+
 // follow reads one connection until it ends. The error names the address.
 func (s *Stream) follow(ctx context.Context, c *connection) error {
 	s.mu.Lock()
--- a/internal/jsonstream/stream_test.go
+++ b/internal/jsonstream/stream_test.go
@@ -124,3 +124,33 @@
 	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.connections) == 0 }, 10*time.Second, time.Millisecond)
 	require.Empty(t, ended, "the call was reported when it timed out")
 }
+
+// Guards against descriptors that run out while a service accepts calls and does not respond.
+func TestStream_KeepsOldestAndNewestOfManyCallsThatTimedOut(t *testing.T) {
+	server := newFakeServer(t)
+	s, received, ended := lateStream(t, server)
+	s.mu.Lock()
+	oldest := s.connections[0]
+	s.mu.Unlock()
+	for range 3 * maxLateConnections {
+		s.Open()
+		require.ErrorIs(t, <-ended, errIdle)
+	}
+	s.mu.Lock()
+	require.Len(t, s.connections, maxLateConnections)
+	require.Same(t, oldest, s.connections[0])
+	newest := s.connections[maxLateConnections-1]
+	s.mu.Unlock()
+	require.Eventually(t, func() bool {
+		s.socketsMu.Lock()
+		defer s.socketsMu.Unlock()
+		return len(s.sockets) == maxLateConnections
+	},
+		10*time.Second, time.Millisecond)
+	s.Open()
+	s.mu.Lock()
+	require.NotSame(t, newest, s.connections[len(s.connections)-1], "the next call is made")
+	s.mu.Unlock()
+	server.values <- "{}"
+	require.Equal(t, "{}", <-received)
+}
--- a/internal/node/router_config.go
+++ b/internal/node/router_config.go
@@ -21,7 +21,7 @@
 	maxResponseBytes    = 1 << 20 // some hosts send more than the protocol's 64 KiB
 
 	// reservedSockets is the number of descriptors reserved for uses other than client and host connections: the poller,
-	// standard streams, the listener, two discovery watches, two feeds, and votes.
+	// standard streams, the listener, up to five connections each for the discovery watch and the feed, and votes.
 	reservedSockets = 28
 
 	minConnectTimeout = 50 * time.Millisecond
