Connections beyond the limit wait to be accepted in place of being read and dropped

Cause: each connection was accepted and read, and the loop decided later whether it was within the limit. A request that was read by then was dropped. While the loop was behind, nothing counted the connections.

Change: the engine accepts no more connections than may be open; others wait in the kernel, unread and without a descriptor. While one waits, the server closes idle connections, or refuses with 503 requests that have been arriving for 0.4 s or more, the oldest first. The router by INI file makes room in the same way, with connections that are idle for 1 s.

The test failed before: TestNode_ServesNewClientsWhileOthersHoldAllConnections, "a connection was closed without a response" in each of its four cases.

--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -189,6 +189,15 @@
 		"unanswered", unanswered, "unsent_bytes", unsent, "partial_request", partial)
 }
 
+// partialSince returns when the first byte arrived of a request that is still arriving, or 0 if there is none or responses to
+// earlier requests are due.
+func (c *clientConn) partialSince() policy.Time {
+	if c.state != connOpen || len(c.pending) > 0 {
+		return 0
+	}
+	return policy.Time(c.requestStartedAt.Load())
+}
+
 // closeIfIdle closes the connection if it is idle, and reports whether it closed it. The connection is idle if all requests
 // have been responded to, the last response has been sent completely and no byte of another request has arrived, not even
 // in the kernel's buffer.
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -170,7 +170,7 @@
 // RefuseArriving refuses the requests that have not arrived completely, and closes their connections.
 func (s *Server) RefuseArriving() {
 	for c := range s.conns {
-		if c.state == connOpen && len(c.pending) == 0 && c.requestStartedAt.Load() != 0 {
+		if c.partialSince() != 0 {
 			c.logClosed("the router is closing and the request has not arrived completely")
 			c.refuse(&http1.Error{Status: http.StatusServiceUnavailable, Text: "this router is closing"})
 		}
@@ -200,7 +200,7 @@
 	c.lastReadAt.Store(int64(c.acceptedAt))
 	s.loop.Post(func() {
 		switch {
-		case len(s.conns) < s.config.MaxConnections || s.reclaim():
+		case len(s.conns) < s.config.MaxConnections || s.reclaim() || s.config.ReclaimIdleAfter > 0 && s.evictPartial():
 		case len(s.conns) < s.config.MaxConnections+s.config.RejectedConnections:
 			c.rejectsRequests = true
 		default:
@@ -214,6 +214,38 @@
 	return c
 }
 
+const (
+	maxReclaimed    = 8                     // maximum number of connections that MakeRoom closes
+	partialEvictAge = policy.Second * 2 / 5 // age from which a partial request may be refused to make room
+)
+
+// MakeRoom closes connections because others wait to be accepted. It is called by the transport engine, outside the loop.
+func (s *Server) MakeRoom() {
+	s.loop.Post(func() {
+		for closed := 0; closed < maxReclaimed && (s.reclaim() || s.evictPartial()); closed++ {
+		}
+	})
+}
+
+// evictPartial refuses the request that has been arriving for longest, if that is at least partialEvictAge, and closes its
+// connection. It reports whether it closed one. Requests arrive in far less time, unless their client is slow or has stopped.
+func (s *Server) evictPartial() bool {
+	startedBefore := s.loop.Now() - partialEvictAge
+	var victim *clientConn
+	for c := range s.conns {
+		if started := c.partialSince(); started != 0 && started <= startedBefore && (victim == nil || started < victim.partialSince()) {
+			victim = c
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.logClosed("the request arrives slowly and others wait for a connection")
+	victim.refuse(&http1.Error{Status: http.StatusServiceUnavailable, Text: "the request arrives too slowly while others wait"})
+	victim.close()
+	return true
+}
+
 // reclaim closes a connection so that a new one can be admitted, and reports whether it closed one. It prefers connections
 // that have had no request, and among those the one from which bytes arrived least recently. It does not close a connection
 // with a request in flight or arriving, one whose response is not sent completely, or one that has been idle for less than
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -152,6 +152,7 @@
 	p.loop.Do(p.reportOutcomes)
 	p.loop.Do(p.heartbeat)
 	p.loop.Do(func() { p.server.SetReady(protocols.Ready) })
+	p.engine.LimitAccepted(c.Downstream.MaxConnections+c.Downstream.RejectedConnections, p.server.MakeRoom)
 	p.engine.Accept(listener, p.server.Accept, func(err error) { p.log.Warn("accepting a connection failed; trying again", "error", err) })
 	p.log.Info("listening", "address", p.address.String())
 	return p, nil
--- a/internal/routerconfig/sections.go
+++ b/internal/routerconfig/sections.go
@@ -60,13 +60,18 @@
 	}
 }
 
-// rejectedConnectionsShare is the divisor that gives the number of connections beyond the limit, whose requests are rejected.
-const rejectedConnectionsShare = 16
+const (
+	// rejectedConnectionsShare is the divisor that gives the number of connections beyond the limit, whose requests are rejected.
+	rejectedConnectionsShare = 16
+
+	// reclaimIdleAfter is the minimum idle time of a client connection before it may be closed for another one at the limit.
+	reclaimIdleAfter = time.Second
+)
 
 func (c *Config) readClients(p inifile.Section) {
 	c.MaxBodyBytes = p.Bytes("held", "256MiB")
 	c.Downstream = downstream.Config{RouterName: c.Name, TransferTimeout: p.Duration("slow", "10s"), IdleTimeout: p.Duration("idle", "60s"),
-		MaxConnections: p.Int("links", "20000", 1, 1<<20), MaxPipelined: p.Int("at-once", "16", 1, 1024),
+		ReclaimIdleAfter: reclaimIdleAfter, MaxConnections: p.Int("links", "20000", 1, 1<<20), MaxPipelined: p.Int("at-once", "16", 1, 1024),
 		Limits: http1.Limits{Head: p.Bytes("largest-head", "16KiB"), Body: p.Bytes("largest-body", "1MiB")}}
 	c.Downstream.RejectedConnections = c.Downstream.MaxConnections / rejectedConnectionsShare
 	if c.MaxBodyBytes < 2*c.Downstream.Limits.Body {
--- a/internal/transport/accept_test.go
+++ b/internal/transport/accept_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -95,3 +96,63 @@
 	}
 	return value
 }
+
+// limitedEngine returns an engine that accepts at most two connections at once, its address, the sessions' connections, and the
+// number of calls of makeRoom.
+func limitedEngine(t *testing.T) (e *Engine, address string, accepted chan *Conn, roomAsked *atomic.Int64) {
+	t.Helper()
+	e, accepted, roomAsked = Start(), make(chan *Conn, 100), &atomic.Int64{}
+	t.Cleanup(e.Stop)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e.LimitAccepted(2, func() { roomAsked.Add(1) })
+	e.Accept(l, func(c *Conn) Session { accepted <- c; return newRecordingSession() }, func(error) {})
+	return e, l.Addr().String(), accepted, roomAsked
+}
+
+// Guards against more descriptors than the process may have: a connection beyond the limit waits until another has ended.
+func TestEngine_AcceptsNoConnectionBeyondLimit(t *testing.T) {
+	_, address, accepted, roomAsked := limitedEngine(t)
+	dial := func() {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	dial()
+	dial()
+	first := <-accepted
+	<-accepted
+	time.Sleep(5 * roomInterval)
+	require.Zero(t, roomAsked.Load(), "no connection waits")
+	dial()
+	require.Eventually(t, func() bool { return roomAsked.Load() > 1 }, 10*time.Second, time.Millisecond)
+	require.Empty(t, accepted)
+	first.Close()
+	<-accepted
+	asked := roomAsked.Load()
+	time.Sleep(5 * roomInterval)
+	require.LessOrEqual(t, roomAsked.Load(), asked+1, "no connection waits any more")
+}
+
+func TestEngine_StopsWhileLimitIsReached(t *testing.T) {
+	for name, stop := range map[string]func(*Engine){"stop": (*Engine).Stop, "stop accepting": (*Engine).StopAccepting} {
+		t.Run(name, func(t *testing.T) {
+			e, address, accepted, roomAsked := limitedEngine(t)
+			for range 3 {
+				c, err := net.Dial("tcp", address)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = c.Close() })
+			}
+			<-accepted
+			<-accepted
+			require.Eventually(t, func() bool { return roomAsked.Load() > 0 }, 10*time.Second, time.Millisecond)
+			stopped := make(chan struct{})
+			go func() { stop(e); close(stopped) }()
+			select {
+			case <-stopped:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the engine does not stop")
+			}
+		})
+	}
+}
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -15,6 +15,7 @@
 	goroutines sync.WaitGroup
 	acceptors  sync.WaitGroup // the goroutines that accept connections
 	calls      systemCalls
+	limit      *acceptLimit // nil if the number of accepted connections is not limited
 
 	mu        sync.Mutex
 	listeners []*listener
@@ -28,8 +29,10 @@
 	return e
 }
 
-// add starts the goroutine that serves a connection. After an error the caller must close the connection.
-func (e *Engine) add(conn net.Conn, open func(*Conn) Session) (*Conn, error) {
+// add starts the goroutine that serves a connection and calls released, if it is not nil, when its descriptor has been released
+// and its session knows that it has ended.
+// After an error the caller must close the connection.
+func (e *Engine) add(conn net.Conn, open func(*Conn) Session, released func()) (*Conn, error) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return nil, errors.New("not a TCP connection")
@@ -54,6 +57,9 @@
 		delete(e.conns, c)
 		e.mu.Unlock()
 		c.session.Closed(err)
+		if released != nil {
+			released()
+		}
 	})
 	return c, nil
 }
@@ -74,7 +80,7 @@
 			done(nil, err)
 			return
 		}
-		c, err := e.add(conn, func(*Conn) Session { return s })
+		c, err := e.add(conn, func(*Conn) Session { return s }, nil)
 		if err != nil {
 			_ = conn.Close()
 		}
