--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"strconv"
 )
@@ -148,40 +149,44 @@
 
 // startChunk parses the size line of a chunk.
 func (r *Reader) startChunk(line []byte) error {
-	digits, _, _ := bytes.Cut(line, []byte(";"))
-	digits = bytes.TrimRight(digits, " \t")
-	for _, c := range digits {
-		if !isHexDigit(c) {
-			return newError(http.StatusBadRequest, "a chunk's size is not a hexadecimal number")
+	size, digits := 0, 0
+	for digits < len(line) && isHexDigit(line[digits]) {
+		if size = size<<4 | hexValue(line[digits]); size > math.MaxInt32 {
+			return newError(http.StatusBadRequest, "a chunk's size is not a hexadecimal number below 2^31")
 		}
+		digits++
 	}
-	size, err := strconv.ParseInt(string(digits), 16, 32)
-	if err != nil {
-		return newError(http.StatusBadRequest, "a chunk's size is not a hexadecimal number below 2^31")
+	if rest := bytes.TrimLeft(line[digits:], " \t"); digits == 0 || len(rest) > 0 && rest[0] != ';' {
+		return newError(http.StatusBadRequest, "a chunk's size is not a hexadecimal number")
 	}
-	if len(r.message.Body)+int(size) > r.limits.Body {
+	if len(r.message.Body)+size > r.limits.Body {
 		return newError(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", r.limits.Body)
 	}
-	if r.remaining, r.state = int(size), readingChunk; size == 0 {
+	if r.remaining, r.state = size, readingChunk; size == 0 {
 		r.state = readingTrailer
 	}
 	return nil
 }
 
-// readLine collects one line of the chunk framing and returns it without its line end, or nil if it is not complete yet.
+// readLine returns one line of the chunk framing without its line end, or nil if it is not complete yet. Only the parts of a
+// line that arrives in pieces are copied.
 func (r *Reader) readLine(data []byte) (line []byte, used int, err error) {
 	end := bytes.IndexByte(data, '\n')
 	if used = end + 1; end < 0 {
 		used = len(data)
 	}
-	r.buffer = append(r.buffer, data[:used]...)
-	if len(r.buffer) > maxChunkLine+2 {
+	if len(r.buffer)+used > maxChunkLine+2 {
 		return nil, used, newError(http.StatusBadRequest, "a line of the chunked body is longer than %d bytes", maxChunkLine)
 	}
+	line = data[:used]
+	if len(r.buffer) > 0 || end < 0 {
+		r.buffer = append(r.buffer, line...)
+		line = r.buffer
+	}
 	if end < 0 {
 		return nil, used, nil
 	}
-	line, r.buffer = r.buffer[:len(r.buffer)-1], r.buffer[:0]
+	line, r.buffer = line[:len(line)-1], r.buffer[:0]
 	if len(line) == 0 || line[len(line)-1] != '\r' {
 		return nil, used, newError(http.StatusBadRequest, "a line of the chunked body ends without CR")
 	}
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -166,3 +166,15 @@
 func isHexDigit(c byte) bool {
 	return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F'
 }
+
+// hexValue returns the value of a hexadecimal digit.
+func hexValue(c byte) int {
+	switch {
+	case c <= '9':
+		return int(c - '0')
+	case c <= 'F':
+		return int(c-'A') + 10
+	default:
+		return int(c-'a') + 10
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -282,6 +283,9 @@
 		if buffer != nil {
 			readBuffers.Put(buffer)
 		}
+		if n == readBufferSize { // there may be more, but the other connections are read first
+			runtime.Gosched()
+		}
 		if isShortOfMemory(err) {
 			time.Sleep(memoryPause)
 			continue
