One budget counts all that messages hold, and the memory plan includes the program

What callers saw: with hundreds of clients that wrote slowly, stopped half way or sent heads of very many fields, a process passed its memory limit and was killed.

Cause: only bodies were counted. A head's buffer grew to 32 KiB for each connection and stayed; text and fields of heads were counted nowhere, and 3,900 fields were read whole before they were counted. The Go runtime got six tenths of the limit whatever the program took of it, and the number of clients followed from the sockets alone.

Change: http1.Budget counts partial heads, text, fields and bodies. Messages over 4 KiB use three quarters of it, so that small ones find room; while large ones find none, the server refuses the arriving requests that hold most, once 0.4 s old. Too many fields are refused when they arrive. node.planMemory divides the limit among mapped files, runtime, messages and connections. `held` of the INI file keeps its meaning for large messages, a third more is for small ones.

Why it works: all that a client can make a router hold is reserved before it is held; a test compares the two to the byte.

The tests failed before, without what the old code lacks: 0 bytes reserved for 582 of a partial head, 0 for 586 of a head, 3,000 for 3,086; no error after 3,900 fields.

--- a/cmd/dapplefront-node/main_test.go
+++ b/cmd/dapplefront-node/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os/exec"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,6 +13,6 @@
 	packages, err := exec.Command("go", "list", "-deps", ".").Output()
 	require.NoError(t, err)
 	for _, unwanted := range []string{"google.golang.org/grpc", "github.com/envoyproxy/go-control-plane", "github.com/hashicorp/", "github.com/spf13/cobra"} {
-		require.False(t, strings.Contains(string(packages), unwanted), unwanted)
+		require.NotRegexp(t, "(?m)^"+unwanted, string(packages))
 	}
 }
--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -198,6 +198,13 @@
 	return policy.Time(c.requestStartedAt.Load())
 }
 
+// held returns how many bytes the request holds that is arriving.
+func (c *clientConn) held() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reader.Held()
+}
+
 // closeIfIdle closes the connection if it is idle, and reports whether it closed it. The connection is idle if all requests
 // have been responded to, the last response has been sent completely and no byte of another request has arrived, not even
 // in the kernel's buffer.
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -200,7 +200,7 @@
 	c.lastReadAt.Store(int64(c.acceptedAt))
 	s.loop.Post(func() {
 		switch {
-		case len(s.conns) < s.config.MaxConnections || s.reclaim() || s.config.ReclaimIdleAfter > 0 && s.evictPartial():
+		case len(s.conns) < s.config.MaxConnections || s.reclaim() || s.config.ReclaimIdleAfter > 0 && s.evictOldest():
 		case len(s.conns) < s.config.MaxConnections+s.config.RejectedConnections:
 			c.rejectsRequests = true
 		default:
@@ -222,26 +222,44 @@
 // MakeRoom closes connections because others wait to be accepted. It is called by the transport engine, outside the loop.
 func (s *Server) MakeRoom() {
 	s.loop.Post(func() {
-		for closed := 0; closed < maxReclaimed && (s.reclaim() || s.evictPartial()); closed++ {
+		for closed := 0; closed < maxReclaimed && (s.reclaim() || s.evictOldest()); closed++ {
 		}
 	})
 }
 
-// evictPartial refuses the request that has been arriving for longest, if that is at least partialEvictAge, and closes its
-// connection. It reports whether it closed one. Requests arrive in far less time, unless their client is slow or has stopped.
-func (s *Server) evictPartial() bool {
+// evictOldest refuses the request that has been arriving for longest, because others wait for a connection. It reports whether
+// there was one.
+func (s *Server) evictOldest() bool {
+	return s.evictPartial("others wait for a connection", func(c *clientConn) int64 { return -int64(c.partialSince()) })
+}
+
+// evictLargest refuses the arriving requests that hold most, until other large messages find room.
+func (s *Server) evictLargest() {
+	const why = "others need the memory that it holds"
+	for s.budget.LargeExhausted() && s.evictPartial(why, func(c *clientConn) int64 { return int64(c.held()) }) {
+	}
+}
+
+// evictPartial refuses the arriving request of the highest rank and closes its connection. It reports whether there was one.
+// Requests that have been arriving for less than partialEvictAge stay: others arrive completely in far less time, unless
+// their client is slow or has stopped.
+func (s *Server) evictPartial(why string, rank func(*clientConn) int64) bool {
 	startedBefore := s.loop.Now() - partialEvictAge
 	var victim *clientConn
+	var highest int64
 	for c := range s.conns {
-		if started := c.partialSince(); started != 0 && started <= startedBefore && (victim == nil || started < victim.partialSince()) {
-			victim = c
+		if started := c.partialSince(); started == 0 || started > startedBefore {
+			continue
+		}
+		if n := rank(c); victim == nil || n > highest {
+			victim, highest = c, n
 		}
 	}
 	if victim == nil {
 		return false
 	}
-	victim.logClosed("the request arrives slowly and others wait for a connection")
-	victim.refuse(&http1.Error{Status: http.StatusServiceUnavailable, Text: "the request arrives too slowly while others wait"})
+	victim.logClosed("the request arrives slowly and " + why)
+	victim.refuse(&http1.Error{Status: http.StatusServiceUnavailable, Text: "the request arrives too slowly, and " + why})
 	victim.close()
 	return true
 }
@@ -295,6 +313,7 @@
 
 // sweep closes the connections that have exceeded one of their timeouts.
 func (s *Server) sweep() {
+	s.evictLargest()
 	now, transfer, first := s.loop.Now(), eventloop.FromDuration(s.config.TransferTimeout), eventloop.FromDuration(s.config.FirstRequestTimeout)
 	for c := range s.conns {
 		lastRead, started := policy.Time(c.lastReadAt.Load()), policy.Time(c.requestStartedAt.Load())
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -113,10 +113,9 @@
 		if r.state == readingBody { // not more than Content-Length
 			size = max(need, min(size, len(m.Body)+r.remaining))
 		}
-		if r.budget != nil && !r.budget.Reserve(size-m.reserved) {
-			return newError(http.StatusServiceUnavailable, "too much is held for others just now")
+		if err := m.reserve(size-cap(m.Body), cap(r.buffer)); err != nil {
+			return err
 		}
-		m.reserved, m.budget = size, r.budget
 		m.Body = append(make([]byte, 0, size), m.Body...)
 	}
 	m.Body = append(m.Body, data...)
@@ -180,7 +179,9 @@
 	}
 	line = data[:used]
 	if len(r.buffer) > 0 || end < 0 {
-		r.buffer = append(r.buffer, line...)
+		if err := r.appendBuffer(line, maxChunkLine+2); err != nil {
+			return nil, used, err
+		}
 		line = r.buffer
 	}
 	if end < 0 {
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -11,7 +11,9 @@
 	headEnd       = "\r\n\r\n"
 	maxFields     = 100 // maximum number of header fields; clients that use net/http send a few dozen at most
 	typicalFields = 8   // number of fields for which memory is reserved at first
-	maxEmptyLines = 4   // maximum number of empty lines that are skipped before a request (RFC 9112, 2.2)
+	maxHeadLines  = maxFields + 2
+	maxEmptyLines = 4  // maximum number of empty lines that are skipped before a request (RFC 9112, 2.2)
+	fieldSize     = 32 // bytes of a Field, without the text
 )
 
 // readHead collects a head and parses it when it is complete.
@@ -35,17 +37,23 @@
 	available := r.limits.Head + len(headEnd) - len(r.buffer)
 	take := min(len(data), max(0, available))
 	before := len(r.buffer)
-	r.buffer = append(r.buffer, data[:take]...)
+	if err := r.appendBuffer(data[:take], r.limits.Head+len(headEnd)); err != nil {
+		return used, err
+	}
 	if end := bytes.Index(r.buffer[from:], []byte(headEnd)); end >= 0 {
 		end += from
 		used += end + len(headEnd) - before
 		err := r.parseHead(r.buffer[:end])
-		r.buffer, r.searched = r.buffer[:0], 0
+		r.freeBuffer()
+		r.searched = 0
 		return used, err
 	}
 	if r.searched = len(r.buffer); r.searched >= r.limits.Head+len(headEnd) {
 		return used, newError(http.StatusRequestHeaderFieldsTooLarge, "the head is larger than %d bytes", r.limits.Head)
 	}
+	if r.lines += bytes.Count(data[:take], []byte("\n")); r.lines > maxHeadLines {
+		return used, newError(http.StatusRequestHeaderFieldsTooLarge, "there are more than %d header fields", maxFields)
+	}
 	if r.searched > 0 && !r.canStartHead() {
 		return used, newError(http.StatusBadRequest, "this is no HTTP/1.1 message")
 	}
@@ -62,8 +70,25 @@
 // parseHead parses a complete head, without the empty line at its end.
 func (r *Reader) parseHead(raw []byte) error {
 	text := string(raw) // one copy, which all strings of the message share
+	m := &Message{budget: r.budget}
+	if err := m.reserve(len(text)+typicalFields*fieldSize, cap(r.buffer)); err != nil {
+		return err
+	}
+	err := r.parseLines(m, text)
+	if err == nil {
+		err = m.reserve((cap(m.Fields)-typicalFields)*fieldSize, cap(r.buffer))
+	}
+	if err != nil {
+		m.Drop()
+		return err
+	}
+	r.message, r.state = m, headComplete
+	return nil
+}
+
+// parseLines parses the lines of a head.
+func (r *Reader) parseLines(m *Message, text string) error {
 	start, rest, _ := strings.Cut(text, "\r\n")
-	m := &Message{}
 	var err error
 	if r.response {
 		err = m.parseStatusLine(start)
@@ -85,7 +110,6 @@
 		}
 		m.Fields = append(m.Fields, f)
 	}
-	r.message, r.state = m, headComplete
 	return nil
 }
 
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -31,8 +31,8 @@
 	Fields         []Field
 	Body           []byte
 
-	reserved int     // number of bytes of the budget that the body holds
-	budget   *Budget // nil if the body holds none
+	reserved int     // number of bytes of the budget that the message holds
+	budget   *Budget // nil if there is none
 }
 
 // Get returns the value of the first field with that name, or "" if there is none. Names are not case-sensitive.
@@ -70,7 +70,8 @@
 	return !keep
 }
 
-// Drop drops the body and returns its bytes to the budget. The body must not be used afterwards.
+// Drop drops the body and returns the message's bytes to the budget. The body must not be used afterwards, and nothing of the
+// message may be kept for long.
 func (m *Message) Drop() {
 	if m.budget != nil {
 		m.budget.Release(m.reserved)
@@ -78,6 +79,15 @@
 	m.Body, m.reserved = nil, 0
 }
 
+// reserve reserves n more bytes for a message. buffered is what its reader holds for it besides.
+func (m *Message) reserve(n, buffered int) error {
+	if m.budget != nil && !m.budget.Reserve(n, m.reserved+buffered+n) {
+		return errBudgetExhausted
+	}
+	m.reserved += n
+	return nil
+}
+
 // isHopByHop reports whether a field is not forwarded, mostly because it concerns a single connection (RFC 9110, 7.6.1).
 // The fields that Connection lists are not forwarded either.
 func isHopByHop(name string) bool {
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -41,14 +41,15 @@
 
 	state     readState
 	message   *Message // set from headComplete on
-	buffer    []byte   // an incomplete head, or an incomplete line of the chunk framing
+	buffer    []byte   // an incomplete head, or an incomplete line of the chunk framing; its capacity is reserved
 	searched  int      // number of bytes of buffer that were searched for the head's end
+	lines     int      // number of line ends in an incomplete head
 	skipped   int      // number of bytes of empty lines before the head
 	remaining int      // bytes of the body or chunk that have not been read; in the trailer, bytes that have been read
 }
 
-// NewReader returns a reader of responses if response is true, or else of requests. Bodies hold bytes of the budget until
-// Message.Drop. If budget is nil, only the limits apply.
+// NewReader returns a reader of responses if response is true, or else of requests. What it has read of a message holds bytes
+// of the budget until Message.Drop or Drop. If budget is nil, only the limits apply.
 func NewReader(limits Limits, budget *Budget, response bool) *Reader {
 	return &Reader{limits: limits, budget: budget, response: response}
 }
@@ -65,16 +66,54 @@
 // Take returns the complete message. The next bytes start another message.
 func (r *Reader) Take() *Message {
 	m := r.message
-	r.message, r.state, r.searched, r.skipped, r.buffer = nil, readingHead, 0, 0, r.buffer[:0]
+	r.freeBuffer()
+	r.message, r.state, r.searched, r.skipped, r.lines = nil, readingHead, 0, 0, 0
 	return m
 }
 
+// Held returns how many bytes of the budget the message that is being read holds.
+func (r *Reader) Held() int {
+	if r.message == nil {
+		return cap(r.buffer)
+	}
+	return cap(r.buffer) + r.message.reserved
+}
+
 // Drop drops the message that is being read and returns its bytes to the budget.
 func (r *Reader) Drop() {
 	if r.message != nil {
 		r.message.Drop()
 	}
-	r.message, r.buffer, r.state = nil, nil, readingHead
+	r.freeBuffer()
+	r.message, r.state = nil, readingHead
+}
+
+// minBufferSize is the smallest capacity of a reader's buffer in bytes.
+const minBufferSize = 512
+
+// appendBuffer appends data to the buffer, which holds at most limit bytes.
+func (r *Reader) appendBuffer(data []byte, limit int) error {
+	if need := len(r.buffer) + len(data); need > cap(r.buffer) {
+		size := max(need, min(max(2*cap(r.buffer), minBufferSize), limit))
+		held := size
+		if r.message != nil {
+			held += r.message.reserved
+		}
+		if r.budget != nil && !r.budget.Reserve(size-cap(r.buffer), held) {
+			return errBudgetExhausted
+		}
+		r.buffer = append(make([]byte, 0, size), r.buffer...)
+	}
+	r.buffer = append(r.buffer, data...)
+	return nil
+}
+
+// freeBuffer drops the buffer and returns its bytes to the budget.
+func (r *Reader) freeBuffer() {
+	if r.budget != nil {
+		r.budget.Release(cap(r.buffer))
+	}
+	r.buffer = nil
 }
 
 // Ended is called when the connection has ended. It reports whether that completed a message.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -49,6 +49,7 @@
 	File
 	Router   *routerconfig.Config
 	Release  policy.ReleaseStatus // status of the newest build when the file was written
+	memory   memoryPlan
 	settings platformsettings.Settings
 	values   platformsettings.Values // the settings by path, for comparing two files
 }
@@ -96,6 +97,7 @@
 	if err := c.readSettings(seed); err != nil {
 		return nil, err
 	}
+	c.memory = planMemory(c.Limits.MemoryMB*mib, mappedFiles())
 	c.Router = c.routerConfig()
 	return c, nil
 }
--- a/internal/node/router_config.go
+++ b/internal/node/router_config.go
@@ -67,12 +67,12 @@
 
 // routerConfig derives the proxy's configuration from the file's limits and settings.
 func (c *Config) routerConfig() *routerconfig.Config {
-	sockets := c.Limits.Sockets - reservedSockets
+	sockets := max(minSockets-reservedSockets, min(c.Limits.Sockets-reservedSockets, c.memory.connections))
 	maxUpstream := sockets * 9 / 20
 	maxDownstream := sockets - maxUpstream
 	rejected := maxDownstream / rejectedConnectionsShare
 	idle := c.duration("Permissions.ConnIdleUs")
-	r := &routerconfig.Config{Name: c.Name, Listen: c.Listen, MaxBodyBytes: c.Limits.MemoryMB << 20 / 6,
+	r := &routerconfig.Config{Name: c.Name, Listen: c.Listen, MaxMessageBytes: c.memory.messages,
 		Router: c.settings.Router}
 	r.Upstream = upstream.Config{ConnectTimeout: max(c.duration("Permissions.ConnectTimeoutUs"), minConnectTimeout),
 		IdleTimeout:           upstreamIdleTimeout(idle),
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"sync"
 	"syscall"
 )
@@ -87,12 +85,3 @@
 	defer close(done)
 	return n.Shutdown(abort)
 }
-
-// ApplyLimits applies the configured limits to the process. GOMAXPROCS is the number of whole cores, but at least one. The
-// Go runtime's soft memory limit is 60% of the memory; the rest is left to the kernel's buffers and the binary.
-func (c *Config) ApplyLimits() {
-	const gcPercent = 200
-	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
-	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
-	debug.SetGCPercent(gcPercent)
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -103,7 +103,7 @@
 // returns. Errors contain the router's name. faults is nil except in tests.
 func Start(protocols controlplane.Protocols, c *routerconfig.Config, log *slog.Logger, faults FaultInjector) (_ *Proxy, err error) {
 	p := &Proxy{config: c, log: log.With("router", c.Name), loop: eventloop.New(), faults: faults, requests: map[string]*request{},
-		endpoints: map[uint32]endpoint.Host{}, startTimes: startTimes{}, outcomes: map[int]map[string]int{}, budget: http1.NewBudget(int64(c.MaxBodyBytes)),
+		endpoints: map[uint32]endpoint.Host{}, startTimes: startTimes{}, outcomes: map[int]map[string]int{}, budget: http1.NewBudget(int64(c.MaxMessageBytes)),
 		cacheUpdates: make(chan []endpoint.Host, 1), cacheWriterDone: make(chan struct{}), protocol: c.Upstream.ProtocolOrDefault(),
 		inputPending: protocols.InputPending}
 	var closers []func() // close what has been opened so far; called in reverse order after an error
@@ -232,7 +232,7 @@
 }
 
 // InFlight returns how many requests are waiting for a response, how many client and upstream connections are open, and
-// how many bytes message bodies hold.
+// how many bytes messages hold.
 func (p *Proxy) InFlight() (requests, clients, upstreams int, bytes int64) {
 	p.loop.Do(func() {
 		requests, clients, upstreams = p.server.Open(), p.server.Connections(), p.pool.Connections()
--- a/internal/routerconfig/change.go
+++ b/internal/routerconfig/change.go
@@ -23,7 +23,7 @@
 	fixed("[router] last-list", c.EndpointCache, next.EndpointCache)
 	fixed("[router] seed", c.Router.Seed, next.Router.Seed)
 	fixed("[clients], paths and patience of categories, and networks of customers", c.Downstream, next.Downstream)
-	fixed("[clients] held", c.MaxBodyBytes, next.MaxBodyBytes)
+	fixed("[clients] held", c.MaxMessageBytes, next.MaxMessageBytes)
 	fixed("[hosts]", c.Upstream, next.Upstream)
 	fixed("[register] address, names and ask", c.Discovery, next.Discovery)
 	fixed("[desk] url, certificate, key and authority", []any{c.ControlPlane.URLs, c.ControlPlane.Certificates},
--- a/internal/routerconfig/config.go
+++ b/internal/routerconfig/config.go
@@ -16,19 +16,19 @@
 
 // Config is the configuration of one router process.
 type Config struct {
-	Name          string
-	Listen        string
-	EndpointCache string        // the file that stores the last endpoint list; empty to disable the cache
-	KillAfter     time.Duration // when the process may be killed at the earliest, counted from the shutdown signal
-	MaxBodyBytes  int           // limit of the total size of all bodies in memory at one time
-	Router        router.Config
-	Downstream    downstream.Config
-	Upstream      upstream.Config
-	Discovery     Discovery
-	ControlPlane  ControlPlane
-	Records       *record.Config // nil if recording is disabled
-	Gossip        *gossip.Config // nil if gossip is disabled
-	HealthCheck   HealthCheck
+	Name            string
+	Listen          string
+	EndpointCache   string        // the file that stores the last endpoint list; empty to disable the cache
+	KillAfter       time.Duration // when the process may be killed at the earliest, counted from the shutdown signal
+	MaxMessageBytes int           // limit of the total size of all messages in memory at one time
+	Router          router.Config
+	Downstream      downstream.Config
+	Upstream        upstream.Config
+	Discovery       Discovery
+	ControlPlane    ControlPlane
+	Records         *record.Config // nil if recording is disabled
+	Gossip          *gossip.Config // nil if gossip is disabled
+	HealthCheck     HealthCheck
 }
 
 // HealthCheck configures the health checks of hosts. It is used only if the router's limits allow health checks.
--- a/internal/routerconfig/sections.go
+++ b/internal/routerconfig/sections.go
@@ -69,12 +69,14 @@
 )
 
 func (c *Config) readClients(p inifile.Section) {
-	c.MaxBodyBytes = p.Bytes("held", "256MiB")
+	held := p.Bytes("held", "256MiB")
 	c.Downstream = downstream.Config{RouterName: c.Name, TransferTimeout: p.Duration("slow", "10s"), IdleTimeout: p.Duration("idle", "60s"),
 		ReclaimIdleAfter: reclaimIdleAfter, MaxConnections: p.Int("links", "20000", 1, 1<<20), MaxPipelined: p.Int("at-once", "16", 1, 1024),
 		Limits: http1.Limits{Head: p.Bytes("largest-head", "16KiB"), Body: p.Bytes("largest-body", "1MiB")}}
 	c.Downstream.RejectedConnections = c.Downstream.MaxConnections / rejectedConnectionsShare
-	if c.MaxBodyBytes < 2*c.Downstream.Limits.Body {
+	// Large messages, with their heads, may hold as much as is configured. A third more is for small ones (http1.Budget).
+	c.MaxMessageBytes = (held + 2*c.Downstream.Limits.Head) / 3 * 4
+	if held < 2*c.Downstream.Limits.Body {
 		p.AddError("held", "held: must be at least twice the value of largest-body")
 	}
 	c.Router.Limits.MaxRequestsInFlight = p.Int("open", "20000", 1, 1<<24)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -142,6 +142,7 @@
 		}
 		m := c.reader.Take()
 		if m.Status < http.StatusOK && m.Status != http.StatusSwitchingProtocols { // an interim response
+			m.Drop()
 			continue
 		}
 		excess := len(data) > 0 // bytes that belong to no response
