Clients share busy hosts by connection

What callers saw: one client with 14 sound requests at a time on one connection, also under ever new customers and keys, and the other clients' answers came late or were rejections (the router by INI file, one host).

Cause: admission knows class, tenant and expected latency, and not whose requests wait at the hosts. 16 requests at once on a connection are more than a small fleet executes; customers that the settings don't list are no tenants.

Change: requests carry the number of their connection. Decision records hold the number; without it a replay decides as before.

--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -35,6 +35,7 @@
 	conn       *transport.Conn
 	remoteIP   netip.Addr
 	acceptedAt policy.Time
+	number     uint64 // counts the server's connections, from 1
 
 	lastReadAt       atomic.Int64 // when the last bytes arrived, a policy.Time
 	requestStartedAt atomic.Int64 // when the first byte of the request being read arrived, a policy.Time; 0 if no request is being read
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -27,6 +27,7 @@
 	ExpectedWork   policy.Time
 	ClientRetry    bool
 	RemoteIP       netip.Addr
+	Client         uint64 // number of the client's connection, from 1
 
 	// OnClientDisconnected is called from work of the loop if the client disconnects before the response. The handler sets it.
 	OnClientDisconnected func()
@@ -108,7 +109,7 @@
 
 // parseRequest parses the headers that describe a request. The last pending response of c must be that of the request.
 func (s *Server) parseRequest(c *clientConn, m *http1.Message, startedAt policy.Time) (*Request, *http1.Error) {
-	r := &Request{Message: m, OnClientDisconnected: func() {}, pending: c.pending[len(c.pending)-1], RemoteIP: c.remoteIP}
+	r := &Request{Message: m, OnClientDisconnected: func() {}, pending: c.pending[len(c.pending)-1], RemoteIP: c.remoteIP, Client: c.number}
 	headers, err := s.protocol.readHeaders(m, s.headers)
 	if err != nil {
 		return nil, err
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/gaissmai/bart"
@@ -97,6 +98,7 @@
 
 	refusedClosing uint64 // requests that were rejected because the server was closing
 	ids            *idRegistry
+	lastConnection atomic.Uint64 // number of the last connection accepted
 }
 
 type serverState int
@@ -196,7 +198,7 @@
 	if a, ok := conn.Remote().(*net.TCPAddr); ok {
 		c.remoteIP = a.AddrPort().Addr().Unmap()
 	}
-	c.acceptedAt = s.loop.Now()
+	c.acceptedAt, c.number = s.loop.Now(), s.lastConnection.Add(1)
 	c.lastReadAt.Store(int64(c.acceptedAt))
 	s.loop.Post(func() {
 		switch {
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -300,3 +300,24 @@
 	h.fail(admitted)
 	require.Equal(t, http.StatusBadGateway, first.status())
 }
+
+// The requests of a connection have its number, by which the policy tells clients apart.
+func TestServer_NumbersConnections(t *testing.T) {
+	h := newTestbench(t, nil)
+	first, second := h.dial(), h.dial()
+	numbers := map[uint64]int{}
+	for range 2 {
+		for _, c := range []testClient{first, second} {
+			c.get()
+			r := <-h.requests
+			numbers[r.Client]++
+			h.fail(r)
+			require.Equal(t, http.StatusBadGateway, c.status())
+		}
+	}
+	require.Len(t, numbers, 2)
+	require.NotContains(t, numbers, uint64(0))
+	for _, requests := range numbers {
+		require.Equal(t, 2, requests)
+	}
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -51,7 +51,7 @@
 	p.counts.Received++
 	d.OnClientDisconnected = func() { p.clientDisconnected(r) }
 	p.handleEvent(router.RequestArrived{RequestID: r.id, Class: d.Class, Tenant: d.Tenant, Key: d.Key, Timeout: d.Timeout,
-		ExpectedWork: d.ExpectedWork, ClientRetry: d.ClientRetry})
+		ExpectedWork: d.ExpectedWork, ClientRetry: d.ClientRetry, Client: d.Client})
 }
 
 func (p *Proxy) clientDisconnected(r *request) {
--- a/policy/request.go
+++ b/policy/request.go
@@ -61,12 +61,15 @@
 	Timeout      Time    // time from its arrival for which the client waits for the final response
 	ExpectedWork Time    // announced by the client; 0 if unknown
 	ClientRetry  bool    // whether the client has announced that it retries on its own
+	Client       uint64  // number of the client's connection; 0 if unknown
 
 	Attempts []*Attempt // in the order in which they were sent
 
 	arrivedAt      Time
 	state          requestState
 	firstAmbiguous *Attempt // earliest attempt that may have been executed and has not succeeded
+
+	countsForClient bool // whether it is counted in clientShares
 }
 
 // Answered reports whether the request has its final response or its client has stopped waiting.
@@ -137,7 +140,11 @@
 	if r.shutdown.started {
 		r.shutdown.requests = append(r.shutdown.requests, request)
 	}
+	if request.Client != 0 {
+		r.clients.requestArrived(request.Client, now)
+	}
 	r.handleRequestEvent(request, requestArrived)
+	r.startClientRequest(request)
 }
 
 // ClientDisconnected records that the client of a request has stopped waiting: the request needs no response any more.
@@ -161,6 +168,10 @@
 // at once are not allowed, before it. If no shadow attempt is due, the first attempt may go to an ejected host instead.
 // A primary attempt after such a first attempt is sent only if the first one fails.
 func (r *Router) dispatch(request *Request) {
+	if r.exceedsClientShare(request) {
+		r.giveUp(request)
+		return
+	}
 	host := r.pickCanary(request)
 	if host != nil && request.Class.Idempotency == Idempotent && r.limits.AllowHedging {
 		if first := r.pickBaseline(request); first != nil && r.isBaseline(first) { // otherwise both attempts would go to the canary
@@ -183,14 +194,15 @@
 	r.send(request, host, primaryAttempt)
 }
 
-// leaveAttemptsInFlight does nothing: attempts of a finished request run to their end and count as samples.
-func (r *Router) leaveAttemptsInFlight(*Request) {}
+// leaveAttemptsInFlight leaves the attempts of a finished request to run to their end and count as samples.
+func (r *Router) leaveAttemptsInFlight(request *Request) { r.endClientRequest(request) }
 
 // giveUp gives the final response at once: a rejection if repeating the request is known to be harmless, otherwise a
 // failure. At the end of a shutdown, a request that may have been executed fails in any case.
 func (r *Router) giveUp(request *Request) {
 	const overloadDuration = Second / 2 // most overloads end within this time
 	request.state = finished
+	r.endClientRequest(request)
 	if request.firstAmbiguous != nil && (!request.Class.repeatsSafely() || r.isShutdownOver()) {
 		r.effects.Fail(request)
 		return
--- a/policy/router.go
+++ b/policy/router.go
@@ -64,6 +64,7 @@
 	surge     latencySurge
 	vote      voteRecord
 	shutdown  shutdownState
+	clients   clientShares
 }
 
 // NewRouter returns a router that knows only its configuration: no hosts and no release. It sets the timer of the regular
@@ -77,6 +78,7 @@
 		routers: max(1, config.Routers), rank: config.Rank, zone: config.Zone, classes: config.Classes, limits: config.Limits,
 		release: releaseState{config: config.Release, stickyBuilds: map[string]int{}},
 		load:    loadEstimate{concurrencyCost: unknownConcurrencyCost},
+		clients: clientShares{loads: map[uint64]*clientLoad{}},
 		gossip:  gossipState{complaints: map[int]int{}, unsentComplaints: map[int]int{}}}
 	for _, class := range r.classes {
 		class.usualLatency = max(1, class.LatencyObjective/unknownLatencyShare)
--- a/record/helpers_test.go
+++ b/record/helpers_test.go
@@ -76,7 +76,7 @@
 			pending = pending[1:]
 			handle(e)
 		}
-		handle(router.RequestArrived{RequestID: strconv.Itoa(i), Class: []string{"quote", "transfer"}[random.IntN(2)], Tenant: []string{"Ada", "Ben", ""}[random.IntN(3)],
+		handle(router.RequestArrived{RequestID: strconv.Itoa(i), Client: uint64(i % 5), Class: []string{"quote", "transfer"}[random.IntN(2)], Tenant: []string{"Ada", "Ben", ""}[random.IntN(3)],
 			Key: fmt.Sprint("account-", random.IntN(20)), Timeout: 10_000, ClientRetry: random.IntN(9) == 0})
 		switch random.IntN(60) {
 		case 0:
--- a/record/request_events.go
+++ b/record/request_events.go
@@ -14,6 +14,7 @@
 	requestTimeout      = 5
 	requestExpectedWork = 6
 	requestClientRetry  = 7
+	requestClient       = 8
 )
 
 func appendRequestArrived(b *encoder, e router.RequestArrived, hash hashFunc) {
@@ -24,6 +25,7 @@
 	b.int(requestTimeout, int64(e.Timeout))
 	b.int(requestExpectedWork, int64(e.ExpectedWork))
 	b.bool(requestClientRetry, e.ClientRetry)
+	b.uint(requestClient, e.Client)
 }
 
 func decodeRequestArrived(message []byte) (router.Event, error) {
@@ -44,6 +46,8 @@
 			e.ExpectedWork = f.time()
 		case requestClientRetry:
 			e.ClientRetry = f.bool()
+		case requestClient:
+			e.Client = f.value
 		}
 		return nil
 	})
--- a/router/events.go
+++ b/router/events.go
@@ -18,6 +18,7 @@
 	Timeout      policy.Time
 	ExpectedWork policy.Time // 0 if unknown
 	ClientRetry  bool        // whether the client has announced that it retries on its own
+	Client       uint64      // number of the client's connection, by which clients share busy hosts; 0 if unknown
 }
 
 // AttemptEnded reports the end of an attempt.
--- a/router/router.go
+++ b/router/router.go
@@ -137,7 +137,7 @@
 		return fmt.Errorf("request %s: %w", e.RequestID, ErrDuplicateRequest)
 	}
 	q := &request{policy: &policy.Request{Class: class, Tenant: r.tenants[e.Tenant], Key: e.Key, Timeout: e.Timeout,
-		ExpectedWork: e.ExpectedWork, ClientRetry: e.ClientRetry}}
+		ExpectedWork: e.ExpectedWork, ClientRetry: e.ClientRetry, Client: e.Client}}
 	r.requests[e.RequestID], r.requestIDs[q.policy] = q, e.RequestID
 	r.policy.RequestArrived(now, q.policy)
 	r.forget(e.RequestID, q)
