Log lines that clients cause are limited to 20 a second of each message

What operators saw: 13 MB of log in 40 s, a warning for each closed connection and a line for each revoked attempt, as many as a client likes.

Cause: nothing bounded them. Change: logging.Limiter writes 20 lines a second of each such message; the next one has the number of those left out as `suppressed`. It stands before "client connection closed", "request refused" and "attempt revoked". What a request or an attempt ended with is still counted in "closed".

--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -1,7 +1,6 @@
 package downstream
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"net/netip"
@@ -186,7 +185,7 @@
 	if unanswered > 0 || unsent > 0 || partial {
 		level = slog.LevelWarn
 	}
-	c.server.log.Log(context.Background(), level, "client connection closed", "reason", reason, "client", c.conn.Remote().String(),
+	c.server.log.Log(level, "client connection closed", "reason", reason, "client", c.conn.Remote().String(),
 		"unanswered", unanswered, "unsent_bytes", unsent, "partial_request", partial)
 }
 
--- a/internal/downstream/request.go
+++ b/internal/downstream/request.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"log/slog"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -87,16 +88,16 @@
 	switch {
 	case err != nil:
 		m.Drop()
-		s.log.Debug("request refused", "request", m.Get(s.protocol.ID), "client", c.remoteIP, "status", err.Status, "reason", err.Text)
+		s.log.Log(slog.LevelDebug, "request refused", "request", m.Get(s.protocol.ID), "client", c.remoteIP, "status", err.Status, "reason", err.Text)
 		p.refuse(err)
 	case s.state == closing:
 		m.Drop()
 		s.refusedClosing++
-		s.log.Info("request refused", "request", r.ID, "class", r.Class, "reason", "the router is closing")
+		s.log.Log(slog.LevelInfo, "request refused", "request", r.ID, "class", r.Class, "reason", "the router is closing")
 		r.Reject(0, "this router is closing")
 	case c.rejectsRequests:
 		m.Drop()
-		s.log.Info("request refused", "request", r.ID, "class", r.Class, "reason", "the limit on client connections is reached")
+		s.log.Log(slog.LevelInfo, "request refused", "request", r.ID, "class", r.Class, "reason", "the limit on client connections is reached")
 		r.Reject(pipelineRetry, "too many connections")
 	case len(c.pending) > s.config.MaxPipelined:
 		m.Drop()
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -28,6 +28,7 @@
 
 	"dapplefront/internal/eventloop"
 	"dapplefront/internal/http1"
+	"dapplefront/internal/logging"
 	"dapplefront/internal/transport"
 	"dapplefront/policy"
 )
@@ -93,8 +94,8 @@
 	state      serverState
 	deadline   policy.Time // by when requests that arrive while the server is draining are responded to; 0 means no deadline
 	conns      map[*clientConn]bool
-	unanswered int // number of requests without a response
-	log        *slog.Logger
+	unanswered int              // number of requests without a response
+	log        *logging.Limiter // clients can cause each line as often as they like
 
 	refusedClosing uint64 // requests that were rejected because the server was closing
 	ids            *idRegistry
@@ -120,7 +121,7 @@
 func NewServer(l *eventloop.Loop, c Config, budget *http1.Budget, handler func(*Request)) *Server {
 	s := &Server{loop: l, config: c, budget: budget, handler: handler, classes: map[string]*Class{},
 		networks: new(bart.Table[string]), conns: map[*clientConn]bool{}, protocol: c.Protocol, ids: newIDRegistry(),
-		log: slog.New(slog.DiscardHandler)}
+		log: logging.NewLimiter(slog.New(slog.DiscardHandler))}
 	if s.protocol == nil {
 		s.protocol = DefaultProtocol
 	}
@@ -145,7 +146,7 @@
 
 // SetLog sets the logger of refused requests and of connections that are closed with requests without a response. Without
 // it, nothing is logged.
-func (s *Server) SetLog(log *slog.Logger) { s.log = log }
+func (s *Server) SetLog(log *slog.Logger) { s.log = logging.NewLimiter(log) }
 
 // RefusedWhileClosing returns how many requests were rejected because the server was closing.
 func (s *Server) RefusedWhileClosing() uint64 { return s.refusedClosing }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -128,7 +128,7 @@
 // disconnected, the request ends as if the loop had been told so before.
 func (p *Proxy) attemptRevoked(r *request, number int, host uint32, reason error) {
 	p.revoked++
-	p.log.Info("attempt revoked", "request", r.downstream.ID, "router_id", r.id, "class", r.downstream.Class, "attempt", number, "host", host,
+	p.limited.Log(slog.LevelInfo, "attempt revoked", "request", r.downstream.ID, "router_id", r.id, "class", r.downstream.Class, "attempt", number, "host", host,
 		"reason", reason, "age", eventloop.Duration(p.loop.Now()-r.downstream.ArrivedAt))
 	if errors.Is(reason, errClientDisconnected) {
 		r.downstream.Abandon()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"dapplefront/internal/eventloop"
 	"dapplefront/internal/gossip"
 	"dapplefront/internal/http1"
+	"dapplefront/internal/logging"
 	"dapplefront/internal/routerconfig"
 	"dapplefront/internal/transport"
 	"dapplefront/internal/upstream"
@@ -45,6 +46,7 @@
 // Proxy is one running router.
 type Proxy struct {
 	log      *slog.Logger
+	limited  *logging.Limiter // for lines that clients can cause as often as they like
 	loop     *eventloop.Loop
 	engine   *transport.Engine
 	router   *router.Router
@@ -102,7 +104,8 @@
 // Start starts a router that uses the given protocols for discovery and the controllers. The router is listening when Start
 // returns. Errors contain the router's name. faults is nil except in tests.
 func Start(protocols controlplane.Protocols, c *routerconfig.Config, log *slog.Logger, faults FaultInjector) (_ *Proxy, err error) {
-	p := &Proxy{config: c, log: log.With("router", c.Name), loop: eventloop.New(), faults: faults, requests: map[string]*request{},
+	log = log.With("router", c.Name)
+	p := &Proxy{config: c, log: log, limited: logging.NewLimiter(log), loop: eventloop.New(), faults: faults, requests: map[string]*request{},
 		endpoints: map[uint32]endpoint.Host{}, startTimes: startTimes{}, outcomes: map[int]map[string]int{}, budget: http1.NewBudget(int64(c.MaxMessageBytes)),
 		cacheUpdates: make(chan []endpoint.Host, 1), cacheWriterDone: make(chan struct{}), protocol: c.Upstream.ProtocolOrDefault(),
 		inputPending: protocols.InputPending}
