An xDS watch fails if the service does not respond

What callers saw (nobody has reported it): a discovery service that accepts connections or streams and does not respond leaves the router by INI file with its last list for good; hosts that drain meanwhile get requests.

Cause: internal/eds had no time limit, and the policy calls again only after a failure. gRPC gives a handshake 20 s and a stream for ever.

--- a/internal/eds/stream.go
+++ b/internal/eds/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	edsv3 "github.com/envoyproxy/go-control-plane/envoy/service/endpoint/v3"
@@ -13,8 +14,8 @@
 	"dapplefront/internal/endpoint"
 )
 
-// streamEndpoints runs the state-of-the-world protocol until the stream ends.
-func (w *Watch) streamEndpoints(ctx context.Context) error {
+// streamEndpoints runs the state-of-the-world protocol until the stream ends. It stops a timer at the first response.
+func (w *Watch) streamEndpoints(ctx context.Context, responded *time.Timer) error {
 	stream, err := edsv3.NewEndpointDiscoveryServiceClient(w.conn).StreamEndpoints(ctx)
 	if err != nil {
 		return err
@@ -30,6 +31,7 @@
 		if err != nil {
 			return err
 		}
+		responded.Stop()
 		request = &discoveryv3.DiscoveryRequest{ResourceNames: w.resourceNames, TypeUrl: TypeURL, ResponseNonce: response.GetNonce()}
 		if err := w.acceptComplete(response); err != nil {
 			request.ErrorDetail = errorDetail(err)
@@ -56,8 +58,8 @@
 	return err
 }
 
-// deltaEndpoints runs the incremental protocol until the stream ends.
-func (w *Watch) deltaEndpoints(ctx context.Context) error {
+// deltaEndpoints runs the incremental protocol until the stream ends. It stops a timer at the first response.
+func (w *Watch) deltaEndpoints(ctx context.Context, responded *time.Timer) error {
 	stream, err := edsv3.NewEndpointDiscoveryServiceClient(w.conn).DeltaEndpoints(ctx)
 	if err != nil {
 		return err
@@ -66,6 +68,9 @@
 	for name, r := range w.list.resources {
 		versions[name] = r.version
 	}
+	if len(versions) > 0 { // no response is due if these versions are current
+		responded.Stop()
+	}
 	request := &discoveryv3.DeltaDiscoveryRequest{Node: w.node(), TypeUrl: TypeURL, ResourceNamesSubscribe: w.resourceNames,
 		InitialResourceVersions: versions}
 	first := true
@@ -78,6 +83,7 @@
 		if err != nil {
 			return err
 		}
+		responded.Stop()
 		request = &discoveryv3.DeltaDiscoveryRequest{TypeUrl: TypeURL, ResponseNonce: response.GetNonce()}
 		hosts, err := w.acceptDelta(response)
 		if err != nil {
