--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -44,6 +44,7 @@
 	number, host := a.Attempt, a.Host
 	request := upstream.Request{Head: head, Body: m.Body, NoBody: m.Method == http.MethodHead,
 		Ready:   func() bool { return p.inputHandled() && p.clientInputRead(r) },
+		Overdue: func() { p.inputOverdue(r, number, host) },
 		Allowed: func() error { return p.mayWrite(r, number) }}
 	r.attempts = append(r.attempts, p.pool.Send(host, request, a.Duration,
 		func(result upstream.Result) { p.attemptEnded(r, number, host, result) }))
@@ -86,6 +87,14 @@
 	return p.inputPending == nil || !p.wasHeldUp() || !p.inputPending()
 }
 
+// inputOverdue counts and logs an attempt that has waited for input and waits no longer. It is written, unless mayWrite returns
+// an error.
+func (p *Proxy) inputOverdue(r *request, number int, host uint32) {
+	p.inputsOverdue++
+	p.limited.Log(slog.LevelWarn, "attempt waits no longer for input", "request", r.downstream.ID, "router_id", r.id, "attempt", number, "host", host,
+		"control_plane_unread", !p.inputHandled(), "client_unread", !p.clientInputRead(r), "delay", eventloop.Duration(p.loop.RecentDelay()))
+}
+
 // clientInputRead reports whether it is certain that the client was connected when it last sent something: it returns false
 // while the process has been held up and the client has sent bytes meanwhile that were not read. The end of its stream can't
 // arrive before them if they fill the receive window.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -76,6 +76,7 @@
 	shutdown       ShutdownCounts
 	lastResponseAt policy.Time            // when a shutdown gives up the requests without a response; 0 before a shutdown
 	revoked        uint64                 // attempts that were not sent, because what they were decided on had changed
+	inputsOverdue  uint64                 // attempts that waited for unread input and no longer did
 	lateResponses  uint64                 // responses with any outcome that were sent after the request's deadline, by the loop's clock
 	latestBuild    int                    // build in the latest release status; 0 before the first status
 	outcomes       map[int]map[string]int // number of requests since the last report, by build and outcome
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -116,10 +116,12 @@
 func (p *Proxy) logClosed(killIn time.Duration) {
 	c, s, late, stats := p.Counts(), p.ShutdownCounts(), p.LateResponses(), p.LoopStats()
 	_, clients, upstreams, _ := p.InFlight()
+	inputsOverdue := uint64(0)
+	p.loop.Do(func() { inputsOverdue = p.inputsOverdue })
 	p.log.Info("closed", "cut_off", s.Undecided, "given_up", s.GivenUp, "refused_while_closing", s.RefusedWhileClosing,
 		"time_left", killIn.Round(time.Millisecond), "client_connections", clients, "host_connections", upstreams,
 		"received", c.Received, "succeeded", c.Succeeded, "rejected", c.Rejected,
-		"failed", c.Failed, "clients_gone", c.ClientsGone, "revoked", p.RevokedAttempts(), "late", late, "queue_delay_p99", stats.QueueDelay.Quantile(logQuantile),
+		"failed", c.Failed, "clients_gone", c.ClientsGone, "revoked", p.RevokedAttempts(), "inputs_overdue", inputsOverdue, "late", late, "queue_delay_p99", stats.QueueDelay.Quantile(logQuantile),
 		"queue_delay_max", stats.QueueDelay.Longest, "timer_delay_p99", stats.TimerDelay.Quantile(logQuantile),
 		"timer_delay_max", stats.TimerDelay.Longest, "work_p99", stats.RunTime.Quantile(logQuantile), "work_max", stats.RunTime.Longest)
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -29,6 +29,8 @@
 	// Ready is asked before Allowed. While it returns false, the write is postponed, but not longer than maxPostponement. nil
 	// means always ready.
 	Ready func() bool
+	// Overdue is called if the write has been postponed for maxPostponement. nil means that nobody needs to know.
+	Overdue func()
 }
 
 const (
@@ -115,10 +117,15 @@
 		a.endUnsent(Result{Outcome: policy.NotSent, Reason: "the host was removed or its address changed, or no time is left"})
 		return
 	}
-	if a.request.Ready != nil && !a.request.Ready() && a.postponed < maxPostponement {
-		a.postponed += readyPollInterval
-		a.pool.loop.After(readyPollInterval, a.write)
-		return
+	if !a.ready() {
+		if a.postponed < maxPostponement {
+			a.postponed += readyPollInterval
+			a.pool.loop.After(readyPollInterval, a.write)
+			return
+		}
+		if a.request.Overdue != nil {
+			a.request.Overdue()
+		}
 	}
 	if err := a.allowed(); err != nil {
 		a.endUnsent(Result{Outcome: policy.Revoked, Reason: err.Error(), Revoked: err})
@@ -136,6 +143,9 @@
 	} // if a part was written before the error, Closed is called and ends the attempt
 }
 
+// ready reports whether the request may be written now.
+func (a *Attempt) ready() bool { return a.request.Ready == nil || a.request.Ready() }
+
 // allowed returns an error if the request must not be sent any more.
 func (a *Attempt) allowed() error {
 	if a.request.Allowed == nil {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -307,8 +307,9 @@
 			r := newTestbench(t)
 			got, asked, startedAt := make(chan string, 1), 0, r.loop.Now()
 			ready := func() bool { asked++; return asked > readyAfter }
+			overdue := 0
 			r.loop.Do(func() {
-				r.pool.Send(1, Request{Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\n"), Ready: ready}, attemptTimeout, func(x Result) {
+				r.pool.Send(1, Request{Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\n"), Ready: ready, Overdue: func() { overdue++ }}, attemptTimeout, func(x Result) {
 					got <- fmt.Sprint(x.Outcome)
 					x.Response.Drop()
 				})
@@ -317,6 +318,7 @@
 			require.GreaterOrEqual(t, r.loop.Now()-startedAt, min(policy.Time(readyAfter)*readyPollInterval, maxPostponement))
 			request.respond("x")
 			require.Equal(t, fmt.Sprint(policy.Succeeded), <-got)
+			require.Equal(t, readyAfter == 1<<30, overdue == 1)
 		})
 	}
 }
