A partial request is not refused while an earlier one on its connection is unhandled

What callers would see: a request that was read and posted gets no response, because the connection is refused for the partial request behind it before the loop has handled the first. Change: partialSince asks awaitingResponse, which the reader counts.

--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -189,10 +189,10 @@
 		"unanswered", unanswered, "unsent_bytes", unsent, "partial_request", partial)
 }
 
-// partialSince returns when the first byte arrived of a request that is still arriving, or 0 if there is none or responses to
-// earlier requests are due.
+// partialSince returns when the first byte arrived of a request that is still arriving, or 0 if there is none or earlier requests
+// have no response yet, be they handled or not.
 func (c *clientConn) partialSince() policy.Time {
-	if c.state != connOpen || len(c.pending) > 0 {
+	if c.state != connOpen || c.awaitingResponse.Load() > 0 {
 		return 0
 	}
 	return policy.Time(c.requestStartedAt.Load())
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -321,3 +321,21 @@
 		require.Equal(t, 2, requests)
 	}
 }
+
+// Guards against a request that is read and gets no response, because its connection is refused for the partial request behind it
+// before the loop has handled it.
+func TestServer_RefusesNoPartialRequestBehindOneThatWasNotHandled(t *testing.T) {
+	h := newTestbench(t, nil)
+	c := h.dial()
+	h.waitConnections(1)
+	unblock := h.blockLoop()
+	_, err := fmt.Fprint(c, "GET /x HTTP/1.1\r\nHost: h\r\n\r\nGET /y HTTP/1.1\r\n")
+	require.NoError(t, err)
+	conn := h.onlyConn()
+	require.Eventually(t, func() bool { return conn.awaitingResponse.Load() == 1 && conn.requestStartedAt.Load() != 0 }, 10*time.Second, time.Millisecond)
+	h.server.RefuseArriving()
+	unblock()
+	require.Eventually(t, func() bool { return len(h.requests) == 1 }, 10*time.Second, time.Millisecond, "the request is handled")
+	h.fail(<-h.requests)
+	require.Equal(t, http.StatusBadGateway, c.status())
+}
