--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -103,9 +103,9 @@
 	return c
 }
 
-func (h *testbench) waitConnections(n int) {
+func (h *testbench) waitConnection() {
 	h.Helper()
-	require.Eventually(h, func() bool { open := 0; h.loop.Do(func() { open = h.server.Connections() }); return open == n },
+	require.Eventually(h, func() bool { open := 0; h.loop.Do(func() { open = h.server.Connections() }); return open == 1 },
 		20*time.Second, time.Millisecond)
 }
 
@@ -170,7 +170,7 @@
 	h := newTestbench(t, nil)
 	c := h.dial()
 	_, _ = fmt.Fprint(c, "GET /x HTTP/1.1\r\nHost: h\r\n\r")
-	h.waitConnections(1)
+	h.waitConnection()
 	unblock := h.blockLoop()
 	conn := h.onlyConn()
 	require.Eventually(t, func() bool { return conn.requestStartedAt.Load() != 0 }, 20*time.Second, time.Millisecond)
@@ -267,7 +267,7 @@
 	h := newTestbench(t, nil)
 	h.loop.Do(h.server.Close)
 	c := h.dial()
-	h.waitConnections(1)
+	h.waitConnection()
 	h.loop.Do(func() { h.server.Drained() })
 	c.get()
 	require.Equal(t, http.StatusServiceUnavailable, c.status())
@@ -294,7 +294,7 @@
 		_, err := c.in.ReadByte()
 		require.ErrorIs(t, err, io.EOF)
 		require.NoError(t, c.Close())
-		h.waitConnections(1)
+		h.waitConnection()
 	}
 	require.Empty(t, h.requests)
 	h.fail(admitted)
@@ -327,7 +327,7 @@
 func TestServer_RefusesNoPartialRequestBehindOneThatWasNotHandled(t *testing.T) {
 	h := newTestbench(t, nil)
 	c := h.dial()
-	h.waitConnections(1)
+	h.waitConnection()
 	unblock := h.blockLoop()
 	_, err := fmt.Fprint(c, "GET /x HTTP/1.1\r\nHost: h\r\n\r\nGET /y HTTP/1.1\r\n")
 	require.NoError(t, err)
